--- /dev/null
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/__init__.py
@@ -0,0 +1,1 @@
+"""Modules of one subject each."""
--- /dev/null
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -0,0 +1,136 @@
+"""Process of an entry VM: takes clients' requests and, if elected, leads."""
+
+from __future__ import annotations
+
+import threading
+
+import attrs
+import logbook
+
+from pollenkeel_jobs.core.gateway import Gateway, LeaderContact
+from pollenkeel_jobs.core.leader import Term
+from pollenkeel_jobs.core.leadership import Leadership
+from pollenkeel_jobs.core.operations import OperationsFeed
+from pollenkeel_jobs.core.tables import TableService
+from pollenkeel_kernel.core.clock import Clock
+from pollenkeel_kernel.core.codes import Code
+from pollenkeel_kernel.core.logs import log_change
+from pollenkeel_kernel.core.messages import ErrorReply, Message
+from pollenkeel_kernel.core.transport import ReplyServer
+
+logger = logbook.Logger("entry")
+
+#: Seconds between looks at the leader's lease.
+_OBSERVE_SECONDS = 0.5
+#: Seconds between looks at the operators' orders while leading.
+_OPERATIONS_SECONDS = 0.05
+
+
+@attrs.frozen
+class NodeSettings:
+    """Identity and addresses of a process.
+
+    Attributes
+    ----------
+    id : str
+        Id of the process, unique in the system.
+    zone : str
+        Data centre of its VM.
+    peer_address : str
+        ``tcp://IP:PORT`` for messages of other processes.
+    """
+
+    id: str
+    zone: str
+    peer_address: str
+
+
+class Entry:
+    """Everything of an entry but its HTTP interface.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Identity and addresses.
+    tables : TableService
+        Where state is recorded.
+    operations : OperationsFeed
+        The operators' orders.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        tables: TableService,
+        operations: OperationsFeed,
+        clock: Clock,
+    ) -> None:
+        self.operations = operations
+        self._settings = settings
+        self._tables = tables
+        self._clock = clock
+        self._leadership = Leadership(settings.id, settings.peer_address, tables, clock)
+        self._contact = LeaderContact(settings.id, self._leadership, clock)
+        self.gateway = Gateway(settings.id, tables, self._contact, clock)
+        self._server = ReplyServer(
+            settings.peer_address, settings.id, clock, self._handle
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients' requests can be served."""
+        return self.operations.current.version > 0
+
+    def run(self, stop: threading.Event) -> None:
+        """Follow the operators' orders and take part in elections until ``stop``."""
+        feed = threading.Thread(
+            target=self.operations.run, args=(stop,), name="operations", daemon=True
+        )
+        feed.start()
+        while not stop.is_set():
+            if self._leadership.observe():
+                self._lead(stop)
+            stop.wait(_OBSERVE_SECONDS)
+        self._leadership.resign()
+        self._leadership.stop()
+
+    def _lead(self, stop: threading.Event) -> None:
+        term = Term(
+            self._settings.id,
+            self._settings.peer_address,
+            self._leadership,
+            self._tables,
+            self._clock,
+        )
+        self._contact.term = term
+        watcher = threading.Thread(
+            target=self._watch_operations, args=(term,), name="zones", daemon=True
+        )
+        watcher.start()
+        term.run(stop)
+        self._contact.term = None
+
+    def _watch_operations(self, term: Term) -> None:
+        while not term.over.wait(_OPERATIONS_SECONDS):
+            term.scheduler.follow_operations(
+                self.operations.current, self.operations.confirmed_at
+            )
+
+    def _handle(self, message: Message) -> Message:
+        term = self._contact.term
+        reply = None
+        if term is not None and not term.over.is_set():
+            reply = term.handle(message)
+        if reply is None:
+            log_change(
+                logger, "message for a leader refused", kind=type(message).__name__
+            )
+            return ErrorReply(
+                self._settings.id,
+                self._clock.now(),
+                Code.NOT_OWNER.value,
+                "this process does not lead",
+            )
+        return reply
--- /dev/null
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -0,0 +1,247 @@
+"""Leader lease in the table service, which also fences the leader's writes."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+import attrs
+import logbook
+import msgpack
+from result import Err, Ok, Result
+
+from pollenkeel_jobs.core.names import LEADER, LEADER_KEY, LEADER_PARTITION
+from pollenkeel_jobs.core.tables import (
+    Condition,
+    Failure,
+    FailureKind,
+    Row,
+    RowWrite,
+    TableService,
+    Transaction,
+)
+from pollenkeel_kernel.core.clock import Clock
+from pollenkeel_kernel.core.logs import log_change
+
+logger = logbook.Logger("leadership")
+
+#: Seconds after the start of its last successful write during which a leader acts.
+LEASE_SECONDS = 2.0
+#: Seconds without a change of the lease row after which another entry takes over.
+TAKEOVER_SECONDS = 2.5
+#: Seconds that the holder gets to renew after the table service has come back.
+_RETURN_SECONDS = 1.0
+#: Seconds between renewals of an idle leader, and between looks at the lease row.
+_RENEW_INTERVAL = 0.5
+#: Pause between tries of a write that was not done, in seconds.
+_RETRY_INTERVAL = 0.1
+
+
+@attrs.frozen
+class LeaseRecord:
+    """Content of the lease row.
+
+    Attributes
+    ----------
+    epoch : int
+        Fencing token; 0 in the write that acquires the lease, whose version it is.
+    holder : str
+        Id and start of the process that leads.
+    address : str
+        Address for messages to the leader; empty once it has resigned.
+    write : int
+        Number of the write by this holder.
+    """
+
+    epoch: int
+    holder: str
+    address: str
+    write: int
+
+    def encode(self) -> bytes:
+        """Return the value of the row."""
+        return bytes(msgpack.packb(list(attrs.astuple(self))))
+
+    @classmethod
+    def decode(cls, row: Row) -> LeaseRecord:
+        """Return the record of a row."""
+        record = cls(*msgpack.unpackb(row.value or b""))
+        return record if record.epoch else attrs.evolve(record, epoch=row.version)
+
+
+class LeadershipLost(Exception):
+    """Another process leads, or this one has stopped."""
+
+
+class Leadership:
+    """Acquires, renews and gives up the lease.
+
+    Parameters
+    ----------
+    holder : str
+        Id of this process.
+    address : str
+        Address at which it takes messages as leader.
+    tables : TableService
+        Where the lease row lives.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, holder: str, address: str, tables: TableService, clock: Clock
+    ) -> None:
+        self._holder = f"{holder}/{time.time_ns()}"
+        self._address = address
+        self._tables = tables
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._version = 0
+        self._writes = 0
+        self._seen_version = -1
+        self._seen_at = 0.0
+        self._read_failed = False
+        self._valid_until = 0.0
+        self.epoch = 0
+        self.leader: LeaseRecord | None = None
+
+    @property
+    def leads(self) -> bool:
+        """Whether this process holds a lease that no other can have taken."""
+        return self.epoch > 0 and self._clock.now() < self._valid_until
+
+    @property
+    def holds(self) -> bool:
+        """Whether this process has the lease and does not know of a successor."""
+        return self.epoch > 0
+
+    def stop(self) -> None:
+        """End waits and retries."""
+        self._stopped.set()
+
+    def observe(self) -> bool:
+        """Look at the lease row; return True once this process has become leader."""
+        began = self._clock.now()
+        found = self._tables.read_row(LEADER_PARTITION, LEADER, LEADER_KEY)
+        now = self._clock.now()
+        if isinstance(found, Err):
+            self._read_failed = True
+            return False
+        row = found.ok_value
+        version = row.version if row else 0
+        if version != self._seen_version:
+            self._seen_version = version
+            self._seen_at = now
+            self._note_leader(row)
+        elif self._read_failed:
+            # The holder could not renew either; it gets a moment before it is replaced.
+            waited = now - self._seen_at
+            limit = TAKEOVER_SECONDS - _RETURN_SECONDS
+            self._seen_at = now - min(waited, limit)
+        self._read_failed = False
+        free = row is None or (self.leader is not None and not self.leader.address)
+        if free or began - self._seen_at > TAKEOVER_SECONDS:
+            return self._acquire(version)
+        return False
+
+    def _note_leader(self, row: Row | None) -> None:
+        leader = None
+        if row is not None:
+            try:
+                leader = LeaseRecord.decode(row)
+            except Exception as error:
+                logger.warning("undecodable lease row", extra={"cause": str(error)})
+        known = self.leader
+        if leader is not None and (known is None or known.epoch != leader.epoch):
+            log_change(logger, "leader known", holder=leader.holder, epoch=leader.epoch)
+        self.leader = leader
+
+    def _acquire(self, version: int) -> bool:
+        record = LeaseRecord(0, self._holder, self._address, self._next_write())
+        began = self._clock.now()
+        result = self._write(record, version, ())
+        if isinstance(result, Err):
+            return False
+        self._version = self.epoch = result.ok_value
+        self._valid_until = began + LEASE_SECONDS
+        self.leader = attrs.evolve(record, epoch=self.epoch)
+        log_change(logger, "became leader", epoch=self.epoch)
+        return True
+
+    def commit(self, writes: tuple[RowWrite, ...]) -> None:
+        """Write rows of the leader's partition and renew the lease.
+
+        Retries until the transaction is known to be done.
+
+        Raises
+        ------
+        LeadershipLost
+            If another process has taken the lease, or this one stops.
+        """
+        with self._lock:
+            record = LeaseRecord(
+                self.epoch, self._holder, self._address, self._next_write()
+            )
+            self._commit(record, writes)
+
+    def renew(self) -> None:
+        """Renew the lease if no transaction has done so lately."""
+        if self._valid_until - self._clock.now() < LEASE_SECONDS - _RENEW_INTERVAL:
+            self.commit(())
+
+    def resign(self) -> None:
+        """Tell the other entries that the lease is free."""
+        if not self.leads:
+            return
+        with self._lock:
+            record = LeaseRecord(self.epoch, self._holder, "", self._next_write())
+            result = self._write(record, self._version, ())
+            self.epoch = 0
+        log_change(logger, "resigned", done=not isinstance(result, Err))
+
+    def _next_write(self) -> int:
+        self._writes += 1
+        return self._writes
+
+    def _commit(self, record: LeaseRecord, writes: tuple[RowWrite, ...]) -> None:
+        failing = False
+        while not self._stopped.is_set():
+            if self.epoch == 0:
+                raise LeadershipLost("the lease was given up")
+            began = self._clock.now()
+            result = self._write(record, self._version, writes)
+            if not isinstance(result, Err):
+                self._version = result.ok_value
+                self._valid_until = began + LEASE_SECONDS
+                if failing:
+                    log_change(logger, "table service accepts writes again")
+                return
+            failure = result.err_value
+            if failure.kind in (FailureKind.CONFLICT, FailureKind.INVALID):
+                self.epoch = 0
+                raise LeadershipLost(failure.detail or failure.kind.value)
+            if not failing:
+                failing = True
+                log_change(
+                    logger, "table service does not accept writes", cause=failure.detail
+                )
+            self._stopped.wait(_RETRY_INTERVAL)
+        raise LeadershipLost("the process stops")
+
+    def _write(
+        self, record: LeaseRecord, version: int, writes: tuple[RowWrite, ...]
+    ) -> Result[int, Failure]:
+        """Write the lease row and others; an earlier try of the same counts as done."""
+        value = record.encode()
+        transaction = Transaction(
+            LEADER_PARTITION,
+            (Condition(LEADER, LEADER_KEY, version),),
+            (RowWrite(LEADER, LEADER_KEY, value), *writes),
+        )
+        result = self._tables.transact(transaction)
+        if isinstance(result, Err) and result.err_value.kind is FailureKind.CONFLICT:
+            for row in result.err_value.rows:
+                if row.key == LEADER_KEY and row.value == value:
+                    return Ok(row.version)
+        return result
--- /dev/null
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -0,0 +1,342 @@
+"""Jobs, steps and tasks, as submitted and as they progress."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+
+import attrs
+
+
+@attrs.frozen
+class Demand:
+    """Resources of one task, or the capacity of a VM.
+
+    Attributes
+    ----------
+    cpu : int
+        Thousandths of a core.
+    memory : int
+        Megabytes.
+    accelerators : int
+        Number of accelerators.
+    """
+
+    cpu: int = 0
+    memory: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: Demand) -> Demand:
+        return Demand(
+            self.cpu + other.cpu,
+            self.memory + other.memory,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: Demand) -> Demand:
+        return Demand(
+            self.cpu - other.cpu,
+            self.memory - other.memory,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits_in(self, free: Demand) -> bool:
+        """Return whether this amount is available in ``free``."""
+        return (
+            self.cpu <= free.cpu
+            and self.memory <= free.memory
+            and self.accelerators <= free.accelerators
+        )
+
+
+@attrs.frozen
+class StepSpec:
+    """One step of a job: ``count`` equal tasks.
+
+    Attributes
+    ----------
+    count : int
+        Number of tasks.
+    demand : Demand
+        Declared resources of one task.
+    estimate : float
+        Declared run time in seconds; a rough figure.
+    after : tuple of int
+        Indices of the steps whose tasks must all be done first.
+    checkpointing : bool
+        The tasks save their progress.
+    gang : bool
+        The tasks only work while all of them run, and end together.
+    same_rack : bool
+        The gang is slower when it spans several racks.
+    label : str
+        Label that the VM must have; empty for none.
+    data_rack : str
+        Rack on which the tasks run at full speed; empty for any.
+    spread_limit : int
+        Most tasks of the step on one VM; 0 for no limit.
+    speculative : bool
+        Copies of a task may run in parallel; the first end counts.
+    long_running : bool
+        The tasks run until the job is cancelled and are restarted when they end.
+    image : str
+        What the tasks run; tasks of one image behave alike.
+    latency_target : float
+        Largest tail latency of a long-running task in milliseconds; 0 for none.
+    fills : bool
+        The tasks use the processor time that others leave, so their ``cpu`` does not
+        count against the VM.
+    may_miss : int
+        Number of long-running tasks that planned work may take out at one time; -1
+        if not limited.
+    """
+
+    count: int
+    demand: Demand
+    estimate: float = 0.0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    data_rack: str = ""
+    spread_limit: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    latency_target: float = 0.0
+    fills: bool = False
+    may_miss: int = -1
+
+    @property
+    def reserved(self) -> Demand:
+        """Amount that a task takes from a VM's capacity."""
+        return attrs.evolve(self.demand, cpu=0) if self.fills else self.demand
+
+
+@attrs.frozen
+class QueuePolicy:
+    """What the operators' configuration says of a queue.
+
+    Attributes
+    ----------
+    name : str
+        Name of the queue.
+    service : str
+        Service whose workers run the tasks.
+    priority : int
+        0 comes first.
+    attempts : int
+        Number of failed runs after which a task is given up.
+    stretch : float
+        Objective of a job, as a multiple of its longest chain of run times.
+    target_latency : float
+        Seconds added to the objective.
+    advised : bool
+        A start needs a ticket of the advice service.
+    """
+
+    name: str
+    service: str
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1.0
+    target_latency: float = 0.0
+    advised: bool = False
+
+
+@attrs.frozen
+class JobSpec:
+    """A job as submitted.
+
+    Attributes
+    ----------
+    job_id : str
+        Id chosen by the client.
+    queue : QueuePolicy
+        Queue at the time of acceptance.
+    payload : str
+        Text handed to each task.
+    steps : tuple of StepSpec
+        Steps, referred to by their index.
+    occurrences : int
+        How often the steps run at set times; 0 for once, immediately.
+    first_at : float
+        Due time of the first occurrence in seconds since the Unix epoch.
+    interval : float
+        Seconds between due times.
+    """
+
+    job_id: str
+    queue: QueuePolicy
+    payload: str
+    steps: tuple[StepSpec, ...]
+    occurrences: int = 0
+    first_at: float = 0.0
+    interval: float = 0.0
+
+    def due_at(self, occurrence: int) -> float:
+        """Return the due time of an occurrence in seconds since the Unix epoch."""
+        return self.first_at + occurrence * self.interval
+
+
+class TaskState(enum.IntEnum):
+    """State of record of a task."""
+
+    WAITING = 0
+    PLACED = 1
+    DONE = 2
+    FAILED = 3
+
+
+class JobStatus(enum.Enum):
+    """Status of a job as shown to clients."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def final(self) -> bool:
+        """Whether the status never changes again."""
+        return self not in (JobStatus.QUEUED, JobStatus.RUNNING)
+
+
+@attrs.frozen
+class TaskKey:
+    """Place of a task within its job."""
+
+    occurrence: int
+    step: int
+    index: int
+
+
+@attrs.define(eq=False)
+class Task:
+    """Progress of one task.
+
+    The first group of fields is the state of record; the second is rebuilt from the
+    reports of the agents.
+
+    Attributes
+    ----------
+    run : int
+        Number of the latest start; 0 before the first.
+    failures : int
+        Runs that ended as failed.
+    checkpoint : str
+        Latest saved progress; empty for none.
+    runner : str
+        Life of the worker that the latest run was placed on.
+    placed_at, seen_at : float
+        Time of the placement and of the first report that lists the run, in seconds
+        since the Unix epoch; 0 if it has not happened.
+    order_deadline : float
+        Time on the worker's clock, in milliseconds, after which the worker refuses
+        the order of the latest run.
+    sent : bool
+        The order was handed to the agent.
+    """
+
+    job: Job
+    key: TaskKey
+    state: TaskState = TaskState.WAITING
+    run: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    runner: str = ""
+
+    placed_at: float = 0.0
+    seen_at: float = 0.0
+    order_deadline: float = 0.0
+    sent: bool = False
+    stop_wanted: bool = False
+    eligible_at: float = 0.0
+    ready_at: float = 0.0
+    percent: int = 0
+    progress_at: float = 0.0
+    ticket: str = ""
+    failed_on: set[str] = attrs.field(factory=set)
+    task_id: str = attrs.field(init=False, default="")
+
+    def __attrs_post_init__(self) -> None:
+        key = self.key
+        self.task_id = f"{self.job.spec.job_id}.{key.occurrence}.{key.step}.{key.index}"
+
+    @property
+    def step(self) -> StepSpec:
+        """Specification of the task's step."""
+        return self.job.spec.steps[self.key.step]
+
+
+@attrs.define(eq=False)
+class Job:
+    """Progress of one job.
+
+    Attributes
+    ----------
+    status : JobStatus
+        Status in memory.
+    recorded_status : JobStatus
+        Status of the last written record; only this one is shown.
+    tasks_by_step : dict of (int, int) to list of Task
+        Tasks by occurrence and step, for occurrences that are due.
+    accepted_at : float
+        Time at which this process learnt of the job, in seconds since the Unix epoch.
+    """
+
+    spec: JobSpec
+    accepted_at: float = 0.0
+    status: JobStatus = JobStatus.QUEUED
+    recorded_status: JobStatus = JobStatus.QUEUED
+    cancelled: bool = False
+    started: bool = False
+    tasks_by_step: dict[tuple[int, int], list[Task]] = attrs.field(factory=dict)
+
+    def add_occurrence(self, occurrence: int) -> None:
+        """Create the tasks of an occurrence."""
+        for number, step in enumerate(self.spec.steps):
+            self.tasks_by_step[occurrence, number] = [
+                Task(self, TaskKey(occurrence, number, index))
+                for index in range(step.count)
+            ]
+
+    def tasks(self) -> Iterator[Task]:
+        """Yield all tasks."""
+        for tasks in self.tasks_by_step.values():
+            yield from tasks
+
+    def has_occurrence(self, occurrence: int) -> bool:
+        """Return whether the tasks of an occurrence exist."""
+        return (occurrence, 0) in self.tasks_by_step
+
+    def occurrences(self) -> set[int]:
+        """Return the occurrences that are due."""
+        return {occurrence for occurrence, _ in self.tasks_by_step}
+
+    def is_ready(self, task: Task) -> bool:
+        """Return whether all steps before the task's step are done."""
+        return all(
+            self.is_step_done(task.key.occurrence, before) for before in task.step.after
+        )
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Return whether all tasks of a step are done."""
+        tasks = self.tasks_by_step[occurrence, step]
+        return all(task.state is TaskState.DONE for task in tasks)
+
+    def task(self, key: TaskKey) -> Task | None:
+        """Return a task, or None if there is none of this key."""
+        tasks = self.tasks_by_step.get((key.occurrence, key.step), [])
+        return tasks[key.index] if key.index < len(tasks) else None
+
+
+def parse_task_id(task_id: str) -> tuple[str, TaskKey] | None:
+    """Return the job id and the key of a task id, or None if it is malformed."""
+    parts = task_id.split(".")
+    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+        return None
+    occurrence, step, index = (int(part) for part in parts[1:])
+    return parts[0], TaskKey(occurrence, step, index)
--- /dev/null
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
@@ -0,0 +1,134 @@
+"""Encoding of jobs and their progress as rows of the table service."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import msgpack
+
+from pollenkeel_jobs.core.model import (
+    Demand,
+    Job,
+    JobSpec,
+    JobStatus,
+    QueuePolicy,
+    StepSpec,
+    TaskState,
+)
+
+
+class RecordError(Exception):
+    """A row cannot be decoded."""
+
+
+def encode_job(spec: JobSpec) -> bytes:
+    """Return the row of a job as submitted."""
+    steps = [_compact(step) for step in spec.steps]
+    queue = attrs.astuple(spec.queue)
+    times = [spec.occurrences, spec.first_at, spec.interval]
+    return bytes(msgpack.packb([1, spec.job_id, queue, spec.payload, steps, times]))
+
+
+def decode_job(value: bytes) -> JobSpec:
+    """Return the job of a row.
+
+    Raises
+    ------
+    RecordError
+        If the row is malformed.
+    """
+    try:
+        _, job_id, queue, payload, steps, times = msgpack.unpackb(value)
+        return JobSpec(
+            job_id,
+            QueuePolicy(*queue),
+            payload,
+            tuple(_expand(step) for step in steps),
+            *times,
+        )
+    except Exception as error:
+        raise RecordError(f"job row: {error}") from error
+
+
+def encode_progress(job: Job) -> bytes:
+    """Return the row of a job's progress; a job that has ended keeps its status only."""
+    if job.status.final:
+        return bytes(msgpack.packb([job.status.value, job.cancelled]))
+    runners: dict[str, int] = {}
+    steps = []
+    for (occurrence, step), tasks in job.tasks_by_step.items():
+        rows = [
+            [
+                int(task.state),
+                task.run,
+                task.failures,
+                runners.setdefault(task.runner, len(runners)),
+                task.checkpoint,
+            ]
+            for task in tasks
+        ]
+        steps.append([occurrence, step, rows])
+    return bytes(
+        msgpack.packb(
+            [job.status.value, job.cancelled, job.started, list(runners), steps]
+        )
+    )
+
+
+def decode_status(value: bytes) -> JobStatus:
+    """Return the status in a progress row.
+
+    Raises
+    ------
+    RecordError
+        If the row is malformed.
+    """
+    try:
+        return JobStatus(msgpack.unpackb(value)[0])
+    except Exception as error:
+        raise RecordError(f"progress row: {error}") from error
+
+
+def apply_progress(job: Job, value: bytes) -> None:
+    """Set a job's progress from its row.
+
+    Raises
+    ------
+    RecordError
+        If the row is malformed.
+    """
+    try:
+        _apply(job, msgpack.unpackb(value))
+    except Exception as error:
+        raise RecordError(f"progress row of {job.spec.job_id}: {error}") from error
+
+
+def _apply(job: Job, fields: list[Any]) -> None:
+    job.status = job.recorded_status = JobStatus(fields[0])
+    job.cancelled = fields[1]
+    if job.status.final:
+        return
+    job.started, runners, steps = fields[2:]
+    for occurrence, step, rows in steps:
+        if not job.has_occurrence(occurrence):
+            job.add_occurrence(occurrence)
+        for task, row in zip(job.tasks_by_step[occurrence, step], rows, strict=True):
+            state, task.run, task.failures, runner, task.checkpoint = row
+            task.state = TaskState(state)
+            task.runner = runners[runner]
+
+
+def _compact(step: StepSpec) -> dict[str, Any]:
+    fields: dict[str, Any] = {"d": attrs.astuple(step.demand)}
+    for field in attrs.fields(StepSpec):
+        value = getattr(step, field.name)
+        if field.name != "demand" and value != field.default:
+            fields[field.name] = value
+    return fields
+
+
+def _expand(fields: dict[str, Any]) -> StepSpec:
+    demand = Demand(*fields.pop("d"))
+    after = tuple(fields.pop("after", ()))
+    return StepSpec(demand=demand, after=after, **fields)
--- /dev/null
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -0,0 +1,109 @@
+"""The leader's view of the VMs."""
+
+from __future__ import annotations
+
+import attrs
+
+from pollenkeel_jobs.core.model import Demand, Task
+
+#: Seconds after which a VM without a report gets no new tasks.
+FRESH_SECONDS = 1.2
+
+
+@attrs.define(eq=False)
+class Vm:
+    """One VM with the tasks that were placed on it.
+
+    Attributes
+    ----------
+    name : str
+        Id of the VM.
+    address : str
+        Address of its agent.
+    life : str
+        Life of the worker according to the last report.
+    heard_at : float
+        Time of the last report, in seconds since the Unix epoch.
+    fenced : bool
+        The worker has taken the leader's fencing token.
+    lease_until : float
+        End of the lease granted last, on the worker's clock, in milliseconds.
+    lapsed_at : float
+        Time at which every lease granted so far has surely ended, in seconds since
+        the Unix epoch.
+    ended_through : int
+        Number of the last end that was taken into the state.
+    recorded_through : int
+        Number of the last end whose effect is recorded.
+    slowness : float
+        Factor by which tasks run longer than elsewhere.
+    """
+
+    name: str
+    address: str
+    life: str = ""
+    service: str = ""
+    zone: str = ""
+    draining: bool = False
+    capacity: Demand = attrs.field(factory=Demand)
+    labels: frozenset[str] = frozenset()
+    heard_at: float = 0.0
+    fenced: bool = False
+    clock: float = 0.0
+    lease_until: float = 0.0
+    lapsed_at: float = 0.0
+    ended_through: int = 0
+    recorded_through: int = 0
+    slowness: float = 1.0
+    used: Demand = attrs.field(factory=Demand)
+    fill_cpu: int = 0
+    tasks_by_id: dict[str, Task] = attrs.field(factory=dict)
+    serving: set[str] = attrs.field(factory=set)
+    filling: set[str] = attrs.field(factory=set)
+
+    @property
+    def free(self) -> Demand:
+        """Capacity that no placed task has reserved."""
+        return self.capacity - self.used
+
+    @property
+    def cpu_load(self) -> float:
+        """Declared processor use of all placed tasks as a share of the capacity."""
+        return (self.used.cpu + self.fill_cpu) / max(1, self.capacity.cpu)
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether the VM may receive starts."""
+        return (
+            bool(self.life)
+            and self.fenced
+            and not self.draining
+            and self.lease_until > 0
+            and now - self.heard_at < FRESH_SECONDS
+        )
+
+    def count_of_step(self, task: Task) -> int:
+        """Return how many tasks of the task's step are placed here."""
+        peers = task.job.tasks_by_step[task.key.occurrence, task.key.step]
+        return sum(1 for peer in peers if peer.task_id in self.tasks_by_id)
+
+    def add(self, task: Task) -> None:
+        """Reserve the resources of a task."""
+        step = task.step
+        self.tasks_by_id[task.task_id] = task
+        self.used += step.reserved
+        if step.fills:
+            self.fill_cpu += step.demand.cpu
+            self.filling.add(task.task_id)
+        if step.latency_target:
+            self.serving.add(task.task_id)
+
+    def remove(self, task: Task) -> None:
+        """Free the resources of a task."""
+        if self.tasks_by_id.pop(task.task_id, None) is None:
+            return
+        step = task.step
+        self.used -= step.reserved
+        if step.fills:
+            self.fill_cpu -= step.demand.cpu
+            self.filling.discard(task.task_id)
+        self.serving.discard(task.task_id)
