Learn harmful pairs of images; pace only those and place them apart

Cause: every filling task was slowed while any serving task was near its target, so cut-plan was late; a fit over the agents' figures showed that only some pairs of images do harm (10 to 22 ms a core, the others under 4).

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -11,6 +11,7 @@
 
 from pollenkeel_jobs.core.messages import (
     OrderOutcome,
+    PairHarm,
     StartOrder,
     StopOrder,
     TaskProfile,
@@ -61,6 +62,7 @@
     recorded_through: int = 0
     profiles_by_task: dict[str, TaskProfile] = attrs.field(factory=dict)
     withdrawn: dict[tuple[str, int], None] = attrs.field(factory=dict)
+    harms: list[PairHarm] = attrs.field(factory=list)
     pace: PaceController = attrs.field(factory=PaceController)
 
 
@@ -259,7 +261,11 @@
         self, state: _WorkerState, order: WorkerOrder, lists: WorkerLists
     ) -> None:
         changes = state.pace.decide(
-            lists.running, state.profiles_by_task, self._clock.now()
+            lists.running,
+            state.profiles_by_task,
+            state.harms,
+            state.announcement.capacity.cpu,
+            self._clock.now(),
         )
         for pace in list(changes):
             result = self._worker.pace(order, pace.task_id, pace.run, pace.percent)
@@ -316,6 +322,7 @@
                 return
             state.lease_until = max(state.lease_until, reply.lease_until)
             state.recorded_through = max(state.recorded_through, reply.recorded_through)
+            state.harms = reply.harms
             for profile in reply.profiles:
                 state.profiles_by_task[profile.task_id] = profile
             self._forget(state, report, reply.recorded_through)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -22,12 +22,32 @@
         The task may be paced for the sake of others.
     latency_target : float
         Largest tail latency in milliseconds; 0 for none.
+    cores : int
+        Declared processor use in thousandths of a core.
     """
 
     task_id: str
     image: str = ""
     fills: bool = False
     latency_target: float = 0.0
+    cores: int = 0
+
+
+@attrs.frozen
+class PairHarm:
+    """Harm that one image does to another on the same VM.
+
+    Attributes
+    ----------
+    serving, filling : str
+        Image with a latency target and image that fills.
+    weight : float
+        Latency over target that the filling image adds if it uses all cores.
+    """
+
+    serving: str
+    filling: str
+    weight: float
 
 
 @attrs.frozen
@@ -189,6 +209,7 @@
     lease_until: float = 0.0
     recorded_through: int = 0
     profiles: list[TaskProfile] = attrs.field(factory=list)
+    harms: list[PairHarm] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
@@ -2,26 +2,30 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import attrs
 
-from pollenkeel_jobs.core.messages import RunningTask, TaskProfile
-
-#: Share of the latency target, without unit, above which filling tasks are slowed.
-_SLOW_ABOVE = 0.85
-#: Share of the latency target below which filling tasks are sped up again.
-_RESTORE_BELOW = 0.55
-#: Seconds between two changes of one VM; figures lag by half a second.
-_SETTLE_SECONDS = 0.8
-_RESTORE_SETTLE_SECONDS = 1.6
-_FULL = 100
-#: Factor of one step down.
-_SLOW_FACTOR = 0.4
-#: Percent added by one step up.
-_RESTORE_STEP = 20
+from pollenkeel_jobs.core.messages import PairHarm, RunningTask, TaskProfile
+
+#: Pressure, latency over target, above which filling tasks are slowed.
+_SLOW_ABOVE = 0.9
+#: Pressure above which all are slowed where no pair is known to do harm.
+_SLOW_ALL_ABOVE = 1.0
+#: Pressure that a restored task may lead to.
+_RESTORE_UP_TO = 0.75
+#: Seconds between two changes of one run; figures lag by half a second.
+_SETTLE_SECONDS = 0.7
+_FULL = 100.0
+#: Factor of one step down where the harmful image is not known.
+_BLIND_FACTOR = 0.4
+#: Part of the computed reduction that is added for safety.
+_REDUCTION_RESERVE = 1.3
+#: Most percent added by one step up, for known and for unknown images.
+_RESTORE_STEP = 40.0
+_BLIND_RESTORE_STEP = 20.0
 #: A pace below this many percent becomes a pause.
-_PAUSE_BELOW = 8
+_PAUSE_BELOW = 5.0
 
 
 @attrs.frozen
@@ -33,23 +37,49 @@
     percent: int
 
 
+@attrs.define
+class _RunPace:
+    percent: float = _FULL
+    changed_at: float = 0.0
+    blind: bool = False
+
+
+@attrs.frozen
+class _Filling:
+    task: RunningTask
+    profile: TaskProfile
+    pace: _RunPace
+
+
+@attrs.frozen
+class _Serving:
+    image: str
+    pressure: float
+
+
 class PaceController:
-    """Additive increase and multiplicative decrease of the pace of filling tasks."""
+    """Slows the filling tasks that do harm, and only as far as needed.
+
+    Which images do harm is learnt by the leader over all VMs; as long as nothing is
+    known of an image beside a task that is over its target, every filling task is
+    slowed.
+    """
 
     def __init__(self) -> None:
-        self._percent = _FULL
-        self._changed_at = 0.0
-        self._paces_by_run: dict[tuple[str, int], int] = {}
+        self._paces_by_run: dict[tuple[str, int], _RunPace] = {}
+        self._sent_by_run: dict[tuple[str, int], int] = {}
 
     @property
     def active(self) -> bool:
-        """Whether filling tasks are slowed."""
-        return self._percent < _FULL
+        """Whether a filling task is slowed."""
+        return any(pace.percent < _FULL for pace in self._paces_by_run.values())
 
     def decide(
         self,
         running: list[RunningTask],
         profiles_by_task: dict[str, TaskProfile],
+        harms: Iterable[PairHarm],
+        cores: int,
         now: float,
     ) -> Iterator[Pace]:
         """Yield the changes of pace for the current lists.
@@ -60,45 +90,103 @@
             Runs with their latest figures.
         profiles_by_task : dict of str to TaskProfile
             Profiles of the running tasks.
+        harms : iterable of PairHarm
+            Pairs of images known to do harm.
+        cores : int
+            Capacity of the VM in thousandths of a core.
         now : float
             Current time in seconds.
         """
-        pressure = max(
-            (
-                task.figure / profile.latency_target
-                for task in running
-                if (profile := profiles_by_task.get(task.task_id))
-                and profile.latency_target > 0
-            ),
-            default=0.0,
-        )
-        self._adjust(pressure, now)
-        listed = set()
+        weights = {(pair.serving, pair.filling): pair.weight for pair in harms}
+        serving = []
+        filling = []
         for task in running:
             profile = profiles_by_task.get(task.task_id)
-            if profile is None or not profile.fills:
+            if profile is None:
                 continue
-            run = (task.task_id, task.run)
-            listed.add(run)
-            if self._paces_by_run.get(run, _FULL) != self._percent:
-                yield Pace(task.task_id, task.run, self._percent)
-        for run in set(self._paces_by_run) - listed:
-            del self._paces_by_run[run]
+            if profile.fills:
+                run = (task.task_id, task.run)
+                pace = self._paces_by_run.setdefault(run, _RunPace())
+                filling.append(_Filling(task, profile, pace))
+            elif profile.latency_target:
+                pressure = task.figure / profile.latency_target
+                serving.append(_Serving(profile.image, pressure))
+        self._forget({(item.task.task_id, item.task.run) for item in filling})
+        for item in filling:
+            if now - item.pace.changed_at >= _SETTLE_SECONDS:
+                self._adjust(item, serving, filling, weights, cores, now)
+        for item in filling:
+            percent = int(item.pace.percent)
+            run = (item.task.task_id, item.task.run)
+            if self._sent_by_run.get(run, int(_FULL)) != percent:
+                yield Pace(*run, percent)
 
     def confirm(self, pace: Pace) -> None:
         """Record that the worker accepted a change of pace."""
-        self._paces_by_run[pace.task_id, pace.run] = pace.percent
-
-    def _adjust(self, pressure: float, now: float) -> None:
-        since = now - self._changed_at
-        if pressure > _SLOW_ABOVE and since >= _SETTLE_SECONDS and self._percent > 0:
-            slower = int(self._percent * _SLOW_FACTOR)
-            self._percent = slower if slower >= _PAUSE_BELOW else 0
-            self._changed_at = now
-        elif (
-            pressure < _RESTORE_BELOW
-            and self._percent < _FULL
-            and since >= _RESTORE_SETTLE_SECONDS
-        ):
-            self._percent = min(_FULL, self._percent + _RESTORE_STEP)
-            self._changed_at = now
+        self._sent_by_run[pace.task_id, pace.run] = pace.percent
+
+    def _forget(self, listed: set[tuple[str, int]]) -> None:
+        for run in set(self._paces_by_run) - listed:
+            del self._paces_by_run[run]
+            self._sent_by_run.pop(run, None)
+
+    def _adjust(
+        self,
+        item: _Filling,
+        serving: list[_Serving],
+        filling: list[_Filling],
+        weights: dict[tuple[str, str], float],
+        cores: int,
+        now: float,
+    ) -> None:
+        factor = 1.0
+        blind = False
+        for other in serving:
+            if other.pressure <= _SLOW_ABOVE:
+                continue
+            harm = sum(_get_harm(peer, other, weights, cores) for peer in filling)
+            if harm > 0:
+                if (other.image, item.profile.image) in weights:
+                    excess = (other.pressure - _SLOW_ABOVE) * _REDUCTION_RESERVE
+                    factor = min(factor, max(0.0, 1.0 - excess / harm))
+            elif other.pressure > _SLOW_ALL_ABOVE:
+                factor = min(factor, _BLIND_FACTOR)
+                blind = True
+        pace = item.pace
+        if factor < 1.0:
+            slower = pace.percent * factor
+            self._set(pace, slower if slower >= _PAUSE_BELOW else 0.0, now)
+            pace.blind = blind
+        elif pace.percent < _FULL:
+            self._restore(item, serving, weights, cores, now)
+
+    def _restore(
+        self,
+        item: _Filling,
+        serving: list[_Serving],
+        weights: dict[tuple[str, str], float],
+        cores: int,
+        now: float,
+    ) -> None:
+        step = _BLIND_RESTORE_STEP if item.pace.blind else _RESTORE_STEP
+        full_share = item.profile.cores / max(1, cores)
+        for other in serving:
+            weight = weights.get((other.image, item.profile.image), 0.0)
+            if weight:
+                room = (_RESTORE_UP_TO - other.pressure) / (weight * full_share)
+                step = min(step, room * _FULL)
+        if step >= 1.0:
+            self._set(item.pace, min(_FULL, item.pace.percent + step), now)
+
+    @staticmethod
+    def _set(pace: _RunPace, percent: float, now: float) -> None:
+        if percent != pace.percent:
+            pace.percent = percent
+            pace.changed_at = now
+
+
+def _get_harm(
+    item: _Filling, other: _Serving, weights: dict[tuple[str, str], float], cores: int
+) -> float:
+    weight = weights.get((other.image, item.profile.image), 0.0)
+    return weight * item.task.figure / max(1, cores)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -5,11 +5,14 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterable, Iterator
 
+from pollenkeel_jobs.core.harm import HarmModel
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.vms import Vm
 
-#: Load added, as a share of the VM, where a filling task would disturb others.
-_DISTURBANCE = 0.35
+#: Load added for each unit of pressure that a task would add or suffer.
+_HARM_FACTOR = 2.0
+#: Expected load of a VM above which no filling task is added.
+_FILL_LIMIT = 1.0
 #: Load added where the task failed before.
 _FAILED_HERE = 5.0
 #: Load added where the task's data is on another rack.
@@ -27,14 +30,43 @@
 class LeastLoaded(Placement):
     """Takes the VM with the smallest load, with penalties for what slows tasks."""
 
+    def __init__(self, harm: HarmModel) -> None:
+        self._harm = harm
+
     def choose(self, task: Task, vms: Iterable[Vm]) -> Vm | None:
         """Return the VM for a task, or None if it fits none of them."""
         return min(
             _filter_fitting(task, vms),
-            key=lambda vm: (_rate(task, vm), vm.name),
+            key=lambda vm: (self._rate(task, vm), vm.name),
             default=None,
         )
 
+    def _rate(self, task: Task, vm: Vm) -> float:
+        step = task.step
+        rate = vm.cpu_load * vm.slowness
+        if step.fills or step.latency_target:
+            rate += _HARM_FACTOR * self._estimate_harm(task, vm)
+        if vm.life in task.failed_on:
+            rate += _FAILED_HERE
+        if step.data_rack and step.data_rack not in vm.labels:
+            rate += _REMOTE_DATA
+        return rate
+
+    def _estimate_harm(self, task: Task, vm: Vm) -> float:
+        """Return the pressure that the task adds to others, or gets from them."""
+        step = task.step
+        cores = max(1, vm.capacity.cpu)
+        if step.fills:
+            weights = (
+                self._harm.weight(image, step.image) for image in vm.serving_images
+            )
+            return sum(weights) * step.demand.cpu / cores
+        return sum(
+            self._harm.weight(step.image, profile.image) * profile.cores / cores
+            for profile in vm.profiles_by_task.values()
+            if profile.fills
+        )
+
 
 def _filter_fitting(task: Task, vms: Iterable[Vm]) -> Iterator[Vm]:
     step = task.step
@@ -46,20 +78,8 @@
             continue
         if not step.reserved.fits_in(vm.free):
             continue
+        if step.fills and vm.cpu_load >= _FILL_LIMIT:
+            continue
         if step.spread_limit and vm.count_of_step(task) >= step.spread_limit:
             continue
         yield vm
-
-
-def _rate(task: Task, vm: Vm) -> float:
-    step = task.step
-    rate = vm.cpu_load * vm.slowness
-    if step.fills and vm.serving:
-        rate += _DISTURBANCE * len(vm.serving)
-    if step.latency_target and vm.filling:
-        rate += _DISTURBANCE
-    if vm.life in task.failed_on:
-        rate += _FAILED_HERE
-    if step.data_rack and step.data_rack not in vm.labels:
-        rate += _REMOTE_DATA
-    return rate
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -8,12 +8,12 @@
 import attrs
 import logbook
 
+from pollenkeel_jobs.core.harm import HarmModel
 from pollenkeel_jobs.core.messages import (
     EndedTask,
     OrderOutcome,
     StartOrder,
     StopOrder,
-    TaskProfile,
     VmReport,
     VmReportReply,
 )
@@ -35,7 +35,7 @@
     encode_progress,
 )
 from pollenkeel_jobs.core.tables import RowWrite
-from pollenkeel_jobs.core.vms import Vm
+from pollenkeel_jobs.core.vms import Vm, make_profile
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.logs import log_change
 from pollenkeel_kernel.policy.quarantine import ConsecutiveFailures
@@ -125,7 +125,8 @@
         self._new_stops: dict[str, list[StopOrder]] = {}
         self._operations = Operations()
         self._operations_until = 0.0
-        self._placement = LeastLoaded()
+        self._harm = HarmModel()
+        self._placement = LeastLoaded(self._harm)
         self._quarantine = ConsecutiveFailures(failures=4, pause=4.0, longest_pause=30)
 
     # Jobs.
@@ -252,6 +253,9 @@
             vm.draining = report.state != "ready"
             if report.clock:
                 self._take_lists(vm, report, now)
+                self._harm.observe(
+                    vm.name, report.running, vm.profiles_by_task, vm.capacity.cpu, now
+                )
             if report.clock and grants:
                 vm.lease_until = report.clock + WORKER_LEASE * 1000
                 lapse = WORKER_LEASE * _CLOCK_FACTOR + _LAPSE_RESERVE
@@ -263,10 +267,11 @@
         if vm is None:
             return VmReportReply("", now, self.epoch)
         profiles = [
-            _make_profile(vm.tasks_by_id[task_id])
+            vm.profiles_by_task[task_id]
             for task_id in unprofiled
-            if task_id in vm.tasks_by_id
+            if task_id in vm.profiles_by_task
         ]
+        harms = self._harm.pairs(vm.serving_images, vm.filling_images)
         return VmReportReply(
             "",
             now,
@@ -275,6 +280,7 @@
             vm.lease_until,
             vm.recorded_through,
             profiles,
+            list(harms),
         )
 
     def _take_life(self, vm: Vm, life: str) -> None:
@@ -556,7 +562,7 @@
                     StartOrder(
                         task.task_id,
                         task.run,
-                        _make_profile(task),
+                        make_profile(task),
                         task.checkpoint,
                         task.ticket,
                     )
@@ -639,8 +645,3 @@
 def _rank(task: Task) -> tuple[int, float, str]:
     job = task.job
     return (job.spec.queue.priority, job.accepted_at, task.task_id)
-
-
-def _make_profile(task: Task) -> TaskProfile:
-    step = task.step
-    return TaskProfile(task.task_id, step.image, step.fills, step.latency_target)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -4,10 +4,13 @@
 
 import attrs
 
+from pollenkeel_jobs.core.messages import TaskProfile
 from pollenkeel_jobs.core.model import Demand, Task
 
 #: Seconds after which a VM without a report gets no new tasks.
 FRESH_SECONDS = 1.2
+#: Share of its declared processor use that a serving task takes on average.
+_SERVING_USE = 0.5
 
 
 @attrs.define(eq=False)
@@ -58,8 +61,20 @@
     used: Demand = attrs.field(factory=Demand)
     fill_cpu: int = 0
     tasks_by_id: dict[str, Task] = attrs.field(factory=dict)
-    serving: set[str] = attrs.field(factory=set)
-    filling: set[str] = attrs.field(factory=set)
+    serving_cpu: int = 0
+    profiles_by_task: dict[str, TaskProfile] = attrs.field(factory=dict)
+
+    @property
+    def serving_images(self) -> set[str]:
+        """Images of the placed tasks that have a latency target."""
+        profiles = self.profiles_by_task.values()
+        return {profile.image for profile in profiles if profile.latency_target}
+
+    @property
+    def filling_images(self) -> set[str]:
+        """Images of the placed tasks that fill."""
+        profiles = self.profiles_by_task.values()
+        return {profile.image for profile in profiles if profile.fills}
 
     @property
     def free(self) -> Demand:
@@ -68,8 +83,9 @@
 
     @property
     def cpu_load(self) -> float:
-        """Declared processor use of all placed tasks as a share of the capacity."""
-        return (self.used.cpu + self.fill_cpu) / max(1, self.capacity.cpu)
+        """Expected processor use of all placed tasks as a share of the capacity."""
+        idle = int(self.serving_cpu * (1.0 - _SERVING_USE))
+        return (self.used.cpu - idle + self.fill_cpu) / max(1, self.capacity.cpu)
 
     def is_usable(self, now: float) -> bool:
         """Return whether the VM may receive starts."""
@@ -90,20 +106,29 @@
         """Reserve the resources of a task."""
         step = task.step
         self.tasks_by_id[task.task_id] = task
+        self.profiles_by_task[task.task_id] = make_profile(task)
         self.used += step.reserved
         if step.fills:
             self.fill_cpu += step.demand.cpu
-            self.filling.add(task.task_id)
         if step.latency_target:
-            self.serving.add(task.task_id)
+            self.serving_cpu += step.demand.cpu
 
     def remove(self, task: Task) -> None:
         """Free the resources of a task."""
         if self.tasks_by_id.pop(task.task_id, None) is None:
             return
         step = task.step
+        del self.profiles_by_task[task.task_id]
         self.used -= step.reserved
         if step.fills:
             self.fill_cpu -= step.demand.cpu
-            self.filling.discard(task.task_id)
-        self.serving.discard(task.task_id)
+        if step.latency_target:
+            self.serving_cpu -= step.demand.cpu
+
+
+def make_profile(task: Task) -> TaskProfile:
+    """Return what agents need to know of a task."""
+    step = task.step
+    return TaskProfile(
+        task.task_id, step.image, step.fills, step.latency_target, step.demand.cpu
+    )
