Cluster serving images, keep harmful images away, move starved filling tasks

Cause: fills that were placed before their image's harm was known stayed paced down (mean pace 35% at the peak); five serving images on every VM leave no VM free of harm. Change: serving tasks prefer VMs with few other images; a fill is not placed where it brings a task over its target; starved fills are stopped with their checkpoint and placed again (core/migration.py); queue in the order of objectives, late jobs last.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -175,6 +175,14 @@
     first_at: float = 0.0
     interval: float = 0.0
 
+    def longest_chain(self) -> float:
+        """Return the declared run time of the longest chain of steps, in seconds."""
+        ends: list[float] = []
+        for step in self.steps:
+            begin = max((ends[before] for before in step.after), default=0.0)
+            ends.append(begin + step.estimate)
+        return max(ends, default=0.0)
+
     def due_at(self, occurrence: int) -> float:
         """Return the due time of an occurrence in seconds since the Unix epoch."""
         return self.first_at + occurrence * self.interval
@@ -238,6 +246,13 @@
         the order of the latest run.
     sent : bool
         The order was handed to the agent.
+    stop_wanted : bool
+        The run is to be stopped so that the task runs elsewhere.
+    percent : int
+        Progress of the latest run, in percent.
+    starved_since : float
+        Time since which the run gets little processor time, in seconds since the Unix
+        epoch; 0 if it gets enough.
     """
 
     job: Job
@@ -253,10 +268,9 @@
     order_deadline: float = 0.0
     sent: bool = False
     stop_wanted: bool = False
-    eligible_at: float = 0.0
     ready_at: float = 0.0
     percent: int = 0
-    progress_at: float = 0.0
+    starved_since: float = 0.0
     ticket: str = ""
     failed_on: set[str] = attrs.field(factory=set)
     task_id: str = attrs.field(init=False, default="")
@@ -285,6 +299,9 @@
         Tasks by occurrence and step, for occurrences that are due.
     accepted_at : float
         Time at which this process learnt of the job, in seconds since the Unix epoch.
+    objective_at : float
+        Time by which the job should be done, by its declared run times, in seconds
+        since the Unix epoch.
     """
 
     spec: JobSpec
@@ -294,6 +311,12 @@
     cancelled: bool = False
     started: bool = False
     tasks_by_step: dict[tuple[int, int], list[Task]] = attrs.field(factory=dict)
+    objective_at: float = attrs.field(init=False, default=0.0)
+
+    def __attrs_post_init__(self) -> None:
+        queue = self.spec.queue
+        allowed = queue.stretch * self.spec.longest_chain() + queue.target_latency
+        self.objective_at = self.accepted_at + allowed
 
     def add_occurrence(self, occurrence: int) -> None:
         """Create the tasks of an occurrence."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -11,6 +11,13 @@
 
 #: Load added for each unit of pressure that a task would add or suffer.
 _HARM_FACTOR = 2.0
+#: Pressure that one task may add without a look at the pressure there is.
+_HARMLESS = 0.08
+#: Pressure, latency over target, up to which a filling task may be added.
+_PRESSURE_LIMIT = 0.95
+#: Load added for each other serving image: the fewer images share a VM, the more
+#: filling images do no harm there.
+_MIXED_IMAGES = 0.15
 #: Expected load of a VM above which no filling task is added.
 _FILL_LIMIT = 1.0
 #: Load added where the task failed before.
@@ -26,6 +33,10 @@
     def choose(self, task: Task, vms: Iterable[Vm]) -> Vm | None:
         """Return the VM for a task, or None if it fits none of them."""
 
+    @abstractmethod
+    def is_harmful(self, task: Task, vm: Vm) -> bool:
+        """Return whether a filling task would bring others over their target."""
+
 
 class LeastLoaded(Placement):
     """Takes the VM with the smallest load, with penalties for what slows tasks."""
@@ -35,8 +46,9 @@
 
     def choose(self, task: Task, vms: Iterable[Vm]) -> Vm | None:
         """Return the VM for a task, or None if it fits none of them."""
+        fitting = _filter_fitting(task, vms)
         return min(
-            _filter_fitting(task, vms),
+            (vm for vm in fitting if not self.is_harmful(task, vm)),
             key=lambda vm: (self._rate(task, vm), vm.name),
             default=None,
         )
@@ -44,6 +56,9 @@
     def _rate(self, task: Task, vm: Vm) -> float:
         step = task.step
         rate = vm.cpu_load * vm.slowness
+        if step.latency_target:
+            others = vm.serving_images - {step.image}
+            rate += _MIXED_IMAGES * len(others)
         if step.fills or step.latency_target:
             rate += _HARM_FACTOR * self._estimate_harm(task, vm)
         if vm.life in task.failed_on:
@@ -52,6 +67,19 @@
             rate += _REMOTE_DATA
         return rate
 
+    def is_harmful(self, task: Task, vm: Vm) -> bool:
+        """Return whether a filling task would bring others over their target."""
+        step = task.step
+        if not step.fills:
+            return False
+        share = step.demand.cpu / max(1, vm.capacity.cpu)
+        for image in vm.serving_images:
+            harm = self._harm.weight(image, step.image) * share
+            if harm > _HARMLESS:
+                if vm.pressure_by_image.get(image, 0.0) + harm > _PRESSURE_LIMIT:
+                    return True
+        return False
+
     def _estimate_harm(self, task: Task, vm: Vm) -> float:
         """Return the pressure that the task adds to others, or gets from them."""
         step = task.step
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -12,11 +12,13 @@
 from pollenkeel_jobs.core.messages import (
     EndedTask,
     OrderOutcome,
+    RunningTask,
     StartOrder,
     StopOrder,
     VmReport,
     VmReportReply,
 )
+from pollenkeel_jobs.core.migration import Migration
 from pollenkeel_jobs.core.model import (
     Job,
     JobSpec,
@@ -58,6 +60,12 @@
 _KEEP_SECONDS = 120.0
 #: Seconds for which the operators' orders count as known after they were read.
 _OPERATIONS_SECONDS = 4.0
+#: Share of its declared processor use below which a filling task is starved.
+_STARVED_SHARE = 0.4
+#: Seconds after the start of a run before its figures count.
+_WARM_UP_SECONDS = 0.8
+#: Seconds between two looks for tasks to move.
+_MOVE_INTERVAL = 0.4
 #: Tasks that found no place after which a pass over the queue ends.
 _MISSES_PER_PASS = 12
 
@@ -127,6 +135,8 @@
         self._operations_until = 0.0
         self._harm = HarmModel()
         self._placement = LeastLoaded(self._harm)
+        self._migration = Migration(self._placement)
+        self._move_at = 0.0
         self._quarantine = ConsecutiveFailures(failures=4, pause=4.0, longest_pause=30)
 
     # Jobs.
@@ -253,6 +263,7 @@
             vm.draining = report.state != "ready"
             if report.clock:
                 self._take_lists(vm, report, now)
+                self._note_pressure(vm, report)
                 self._harm.observe(
                     vm.name, report.running, vm.profiles_by_task, vm.capacity.cpu, now
                 )
@@ -317,6 +328,7 @@
                 self._note_started(task.job)
             if running.checkpoint:
                 task.checkpoint = running.checkpoint
+            self._note_use(task, running, now)
             if task.job.status.final or task.stop_wanted:
                 self._stop(vm, running.task_id, running.run, now)
         for ended in report.ended:
@@ -330,6 +342,45 @@
             withdrawn = {(stop.task_id, stop.run) for stop in report.withdrawn}
             self._find_lost(vm, listed, withdrawn, now)
 
+    def _note_use(self, task: Task, running: RunningTask, now: float) -> None:
+        """Keep what the figures say of a run."""
+        task.percent = running.percent
+        step = task.step
+        if not step.fills:
+            return
+        starved = running.figure < _STARVED_SHARE * step.demand.cpu
+        if not starved or now - task.seen_at < _WARM_UP_SECONDS:
+            task.starved_since = 0.0
+        elif not task.starved_since:
+            task.starved_since = now
+
+    def _note_pressure(self, vm: Vm, report: VmReport) -> None:
+        vm.pressure_by_image.clear()
+        for running in report.running:
+            profile = vm.profiles_by_task.get(running.task_id)
+            if profile is not None and profile.latency_target:
+                pressure = running.figure / profile.latency_target
+                known = vm.pressure_by_image.get(profile.image, 0.0)
+                vm.pressure_by_image[profile.image] = max(known, pressure)
+
+    def _move_starved(self, now: float) -> None:
+        """Stop filling tasks that have a better VM."""
+        if now < self._move_at:
+            return
+        self._move_at = now + _MOVE_INTERVAL
+        for vm, task in self._migration.choose(self._usable_vms(now), now):
+            log_change(
+                logger,
+                "task moves",
+                task=task.task_id,
+                run=task.run,
+                vm=vm.name,
+                percent=task.percent,
+                starved=round(now - task.starved_since, 2),
+            )
+            task.stop_wanted = True
+            self._stop(vm, task.task_id, task.run, now)
+
     def _find_lost(
         self,
         vm: Vm,
@@ -487,6 +538,7 @@
         task.seen_at = 0.0
         task.sent = False
         task.stop_wanted = False
+        task.starved_since = 0.0
         if task.job.status.final:
             return
         self._dirty[task.job] = None
@@ -509,6 +561,7 @@
         with self._lock:
             self.expire_vms()
             works = self._place()
+            self._move_starved(self._clock.now())
             for name, stops in self._new_stops.items():
                 vm = self._vms_by_name[name]
                 works.setdefault(vm, VmWork(vm)).stops.extend(stops)
@@ -574,18 +627,12 @@
     def _place(self) -> dict[Vm, VmWork]:
         now = self._clock.now()
         works: dict[Vm, VmWork] = {}
-        vms = [
-            vm
-            for vm in self._vms_by_name.values()
-            if vm.is_usable(now)
-            and self._is_open(vm.zone)
-            and self._quarantine.allowed(vm.life, now)
-        ]
+        vms = self._usable_vms(now)
         if not vms:
             return works
         misses = 0
         missed_steps = set()
-        for task in sorted(self._ready, key=_rank):
+        for task in sorted(self._ready, key=lambda task: _rank(task, now)):
             step = (task.job, task.key.occurrence, task.key.step)
             if step in missed_steps:
                 continue
@@ -600,6 +647,15 @@
             works.setdefault(vm, VmWork(vm)).starts.append(task)
         return works
 
+    def _usable_vms(self, now: float) -> list[Vm]:
+        return [
+            vm
+            for vm in self._vms_by_name.values()
+            if vm.is_usable(now)
+            and self._is_open(vm.zone)
+            and self._quarantine.allowed(vm.life, now)
+        ]
+
     def _is_open(self, zone: str) -> bool:
         known = self._clock.now() < self._operations_until
         return known and zone not in self._operations.closed_zones
@@ -642,6 +698,12 @@
                     yield job_id
 
 
-def _rank(task: Task) -> tuple[int, float, str]:
+def _rank(task: Task, now: float) -> tuple[int, bool, float, str]:
+    """Return the place of a task in the queue, the first being the smallest.
+
+    Jobs that can still meet their objective go first, the most urgent of them in front;
+    the others are late already, whatever is done.
+    """
     job = task.job
-    return (job.spec.queue.priority, job.accepted_at, task.task_id)
+    late = now > job.objective_at
+    return (job.spec.queue.priority, late, job.objective_at, task.task_id)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -40,6 +40,8 @@
         Number of the last end whose effect is recorded.
     slowness : float
         Factor by which tasks run longer than elsewhere.
+    pressure_by_image : dict of str to float
+        Largest tail latency over target of each serving image, from the last report.
     """
 
     name: str
@@ -62,6 +64,7 @@
     fill_cpu: int = 0
     tasks_by_id: dict[str, Task] = attrs.field(factory=dict)
     serving_cpu: int = 0
+    pressure_by_image: dict[str, float] = attrs.field(factory=dict)
     profiles_by_task: dict[str, TaskProfile] = attrs.field(factory=dict)
 
     @property
