Slow harmful filling tasks earlier

Cause: a serving task over its target costs four times its share, and the pace only reacted at 0.9 of the target.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
@@ -9,11 +9,11 @@
 from pollenkeel_jobs.core.messages import PairHarm, RunningTask, TaskProfile
 
 #: Pressure, latency over target, above which filling tasks are slowed.
-_SLOW_ABOVE = 0.9
+_SLOW_ABOVE = 0.8
 #: Pressure above which all are slowed where no pair is known to do harm.
-_SLOW_ALL_ABOVE = 1.0
+_SLOW_ALL_ABOVE = 0.9
 #: Pressure that a restored task may lead to.
-_RESTORE_UP_TO = 0.75
+_RESTORE_UP_TO = 0.65
 #: Seconds between two changes of one run; figures lag by half a second.
 _SETTLE_SECONDS = 0.7
 _FULL = 100.0
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -14,7 +14,7 @@
 #: Pressure that one task may add without a look at the pressure there is.
 _HARMLESS = 0.08
 #: Pressure, latency over target, up to which a filling task may be added.
-_PRESSURE_LIMIT = 0.95
+_PRESSURE_LIMIT = 0.75
 #: Load added for each other serving image: the fewer images share a VM, the more
 #: filling images do no harm there.
 _MIXED_IMAGES = 0.15
