Ask the holder of the lease; stop stalled runs; find slow VMs by run times

Change: LeaderQuery (a holder that cannot write yields to an entry that can), stalled runs are stopped and count against the VM, VmSpeeds; the quarantine counts jobs, so that one hopeless job does not shut a VM.

--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,14 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 STAMP := $(VENV)/.installed
 
 .PHONY: install format lint types tests test demo clean
 
 install: $(STAMP)
 
-$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -r requirements.txt
 	$(BIN)/pip install -q --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e $(p))
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -4,6 +4,7 @@
 
 import threading
 from concurrent.futures import Future, ThreadPoolExecutor, wait
+from typing import Any
 
 import attrs
 import logbook
@@ -179,7 +180,7 @@
                 for start in message.starts
             ]
         order = WorkerOrder(state.announcement.worker_id, message.epoch)
-        stops = [
+        stops: list[Future[Any]] = [
             self._orders.submit(self._stop, state, order, stop)
             for stop in message.stops
         ]
@@ -188,7 +189,7 @@
                 OrderOutcome(start.task_id, start.run, _REFUSED, refusal)
                 for start in message.starts
             ]
-        starts = []
+        starts: list[tuple[StartOrder, Future[OrderOutcome]]] = []
         for start in message.starts:
             with self._lock:
                 state.profiles_by_task[start.task_id] = start.profile
@@ -197,7 +198,8 @@
                 self._start, order, start, payload, message.deadline
             )
             starts.append((start, call))
-        wait([call for _, call in starts] + stops, timeout=_ORDER_SECONDS)
+        calls: list[Future[Any]] = [call for _, call in starts]
+        wait(calls + stops, timeout=_ORDER_SECONDS)
         self._wake.set()
         return [_get_outcome(start, call) for start, call in starts]
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -8,7 +8,8 @@
 
 from pollenkeel_jobs.core.gateway import Gateway, LeaderContact
 from pollenkeel_jobs.core.leader import Term
-from pollenkeel_jobs.core.leadership import Leadership
+from pollenkeel_jobs.core.leadership import Leadership, LeaseRecord
+from pollenkeel_jobs.core.messages import LeaderQuery, LeaderQueryReply
 from pollenkeel_jobs.core.operations import OperationsFeed
 from pollenkeel_jobs.core.tables import TableService
 from pollenkeel_kernel.core.clock import Clock
@@ -18,6 +19,8 @@
 
 #: Seconds between looks at the leader's lease.
 _OBSERVE_SECONDS = 0.3
+#: Longest wait for the holder's answer whether it leads, in seconds.
+_ASK_SECONDS = 0.4
 #: Seconds between looks at the operators' orders while leading.
 _OPERATIONS_SECONDS = 0.05
 
@@ -86,7 +89,7 @@
         )
         feed.start()
         while not stop.is_set():
-            if self._leadership.observe():
+            if self._leadership.observe(self._ask_leader):
                 self._lead(stop)
             stop.wait(_OBSERVE_SECONDS)
         self._leadership.resign()
@@ -114,7 +117,15 @@
                 self.operations.current, self.operations.confirmed_at
             )
 
+    def _ask_leader(self, leader: LeaseRecord) -> bool:
+        query = LeaderQuery(self._settings.id, self._clock.now(), leader.epoch)
+        reply = self._contact.ask(query, _ASK_SECONDS)
+        return not isinstance(reply, LeaderQueryReply) or reply.leads
+
     def _handle(self, message: Message) -> Message:
+        if isinstance(message, LeaderQuery):
+            leads = not self._leadership.yields(message.epoch)
+            return LeaderQueryReply(self._settings.id, self._clock.now(), leads)
         term = self._contact.term
         reply = None
         if term is not None and not term.over.is_set():
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 
 import attrs
 import logbook
@@ -33,6 +34,10 @@
 _RETURN_SECONDS = 1.0
 #: Seconds between renewals of an idle leader, and between looks at the lease row.
 _RENEW_INTERVAL = 0.5
+#: Seconds without a change of the lease row after which its holder is asked.
+_ASK_SECONDS = 0.8
+#: Seconds of failing writes after which a leader yields to an entry that can write.
+_YIELD_SECONDS = 0.5
 #: Pause between tries of a write that was not done, in seconds.
 _RETRY_INTERVAL = 0.1
 
@@ -103,6 +108,7 @@
         self._seen_at = 0.0
         self._read_failed = False
         self._valid_until = 0.0
+        self._failing_since = 0.0
         self.epoch = 0
         self.leader: LeaseRecord | None = None
 
@@ -120,8 +126,15 @@
         """End waits and retries."""
         self._stopped.set()
 
-    def observe(self) -> bool:
-        """Look at the lease row; return True once this process has become leader."""
+    def observe(self, ask: Callable[[LeaseRecord], bool]) -> bool:
+        """Look at the lease row; return True once this process has become leader.
+
+        Parameters
+        ----------
+        ask : callable
+            Asks the holder whether it leads; False only if it has said that it does
+            not, True also if it does not answer.
+        """
         began = self._clock.now()
         found = self._tables.read_row(LEADER_PARTITION, LEADER, LEADER_KEY)
         now = self._clock.now()
@@ -144,10 +157,30 @@
         free = row is None or (
             leader is not None and (not leader.address or self._is_own_past(leader))
         )
-        if free or began - self._seen_at > TAKEOVER_SECONDS:
+        unchanged = began - self._seen_at
+        if not free and leader is not None and unchanged > _ASK_SECONDS:
+            free = not ask(leader)
+        if free or unchanged > TAKEOVER_SECONDS:
             return self._acquire(version)
         return False
 
+    def yields(self, epoch: int) -> bool:
+        """Give the lease up to an entry that reaches the table service.
+
+        Returns
+        -------
+        bool
+            Whether this process does not lead with ``epoch``, or no longer.
+        """
+        if self.epoch != epoch:
+            return True
+        failing = self._failing_since
+        if failing and self._clock.now() - failing > _YIELD_SECONDS:
+            log_change(logger, "lease given up to an entry that can write")
+            self.epoch = 0
+            return True
+        return False
+
     def _is_own_past(self, leader: LeaseRecord) -> bool:
         """Return whether the holder is an earlier process of this VM, so has ended."""
         return leader.holder.rpartition("/")[0] == self._holder.rpartition("/")[0]
@@ -170,6 +203,7 @@
         result = self._write(record, version, ())
         if isinstance(result, Err):
             return False
+        self._failing_since = 0.0
         self._version = self.epoch = result.ok_value
         self._valid_until = began + LEASE_SECONDS
         self.leader = attrs.evolve(record, epoch=self.epoch)
@@ -212,24 +246,26 @@
         return self._writes
 
     def _commit(self, record: LeaseRecord, writes: tuple[RowWrite, ...]) -> None:
-        failing = False
         while not self._stopped.is_set():
             if self.epoch == 0:
                 raise LeadershipLost("the lease was given up")
             began = self._clock.now()
             result = self._write(record, self._version, writes)
+            if self.epoch == 0:
+                raise LeadershipLost("the lease was given up")
             if not isinstance(result, Err):
                 self._version = result.ok_value
                 self._valid_until = began + LEASE_SECONDS
-                if failing:
+                if self._failing_since:
+                    self._failing_since = 0.0
                     log_change(logger, "table service accepts writes again")
                 return
             failure = result.err_value
             if failure.kind in (FailureKind.CONFLICT, FailureKind.INVALID):
                 self.epoch = 0
                 raise LeadershipLost(failure.detail or failure.kind.value)
-            if not failing:
-                failing = True
+            if not self._failing_since:
+                self._failing_since = began
                 log_change(
                     logger, "table service does not accept writes", cause=failure.detail
                 )
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -234,6 +234,24 @@
     status: str
 
 
+@attrs.frozen
+class LeaderQuery(Message):
+    """Asks the holder of the lease whether it leads.
+
+    The sender has just reached the table service. A leader that has not, gives up its
+    lease to it.
+    """
+
+    epoch: int
+
+
+@attrs.frozen
+class LeaderQueryReply(Message):
+    """Whether the process leads with the epoch that was asked for."""
+
+    leads: bool
+
+
 @attrs.frozen
 class QueueQuery(Message):
     """Asks the leader how many jobs of a queue have not started."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -250,6 +250,8 @@
         The run is to be stopped so that the task runs elsewhere.
     percent : int
         Progress of the latest run, in percent.
+    progress_at : float
+        Time of the last report with more progress, in seconds since the Unix epoch.
     starved_since : float
         Time since which the run gets little processor time, in seconds since the Unix
         epoch; 0 if it gets enough.
@@ -270,6 +272,7 @@
     stop_wanted: bool = False
     ready_at: float = 0.0
     percent: int = 0
+    progress_at: float = 0.0
     starved_since: float = 0.0
     ticket: str = ""
     failed_on: set[str] = attrs.field(factory=set)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -20,6 +20,8 @@
 _MIXED_IMAGES = 0.15
 #: Expected load of a VM above which no filling task is added.
 _FILL_LIMIT = 1.0
+#: Load added for each multiple by which a VM is slower than others.
+_SLOWNESS_FACTOR = 0.6
 #: Load added where the task failed before.
 _FAILED_HERE = 5.0
 #: Load added where the task's data is on another rack.
@@ -55,7 +57,7 @@
 
     def _rate(self, task: Task, vm: Vm) -> float:
         step = task.step
-        rate = vm.cpu_load * vm.slowness
+        rate = vm.cpu_load + _SLOWNESS_FACTOR * (vm.slowness - 1.0)
         if step.latency_target:
             others = vm.serving_images - {step.image}
             rate += _MIXED_IMAGES * len(others)
@@ -75,9 +77,9 @@
         share = step.demand.cpu / max(1, vm.capacity.cpu)
         for image in vm.serving_images:
             harm = self._harm.weight(image, step.image) * share
-            if harm > _HARMLESS:
-                if vm.pressure_by_image.get(image, 0.0) + harm > _PRESSURE_LIMIT:
-                    return True
+            pressure = vm.pressure_by_image.get(image, 0.0) + harm
+            if harm > _HARMLESS and pressure > _PRESSURE_LIMIT:
+                return True
         return False
 
     def _estimate_harm(self, task: Task, vm: Vm) -> float:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
@@ -52,7 +52,7 @@
 
 
 def encode_progress(job: Job) -> bytes:
-    """Return the row of a job's progress; a job that has ended keeps its status only."""
+    """Return the row of a job's progress; of an ended job only its status."""
     if job.status.final:
         return bytes(msgpack.packb([job.status.value, job.cancelled]))
     runners: dict[str, int] = {}
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -36,6 +36,7 @@
     decode_job,
     encode_progress,
 )
+from pollenkeel_jobs.core.speed import VmSpeeds
 from pollenkeel_jobs.core.tables import RowWrite
 from pollenkeel_jobs.core.vms import Vm, make_profile
 from pollenkeel_kernel.core.clock import Clock
@@ -64,6 +65,10 @@
 _STARVED_SHARE = 0.4
 #: Seconds after the start of a run before its figures count.
 _WARM_UP_SECONDS = 0.8
+#: Seconds without progress after which a run counts as stalled.
+_STALL_SECONDS = 2.0
+#: Percent that a long-running task shows while it is at work.
+_AT_WORK = 100
 #: Seconds between two looks for tasks to move.
 _MOVE_INTERVAL = 0.4
 #: Seconds between two records of the learnt interference.
@@ -140,9 +145,10 @@
         self._harm = harm
         self._placement = LeastLoaded(self._harm)
         self._migration = Migration(self._placement)
+        self._speeds = VmSpeeds()
         self._move_at = 0.0
         self._harm_at = 0.0
-        self._quarantine = ConsecutiveFailures(failures=4, pause=4.0, longest_pause=30)
+        self._quarantine = ConsecutiveFailures(failures=2, pause=4.0, longest_pause=30)
 
     # Jobs.
 
@@ -333,7 +339,8 @@
                 self._note_started(task.job)
             if running.checkpoint:
                 task.checkpoint = running.checkpoint
-            self._note_use(task, running, now)
+            paced = report.paced and task.step.fills
+            self._note_use(vm, task, running, paced, now)
             if task.job.status.final or task.stop_wanted:
                 self._stop(vm, running.task_id, running.run, now)
         for ended in report.ended:
@@ -347,10 +354,34 @@
             withdrawn = {(stop.task_id, stop.run) for stop in report.withdrawn}
             self._find_lost(vm, listed, withdrawn, now)
 
-    def _note_use(self, task: Task, running: RunningTask, now: float) -> None:
+    def _stop_stalled(self, vm: Vm, task: Task, now: float) -> None:
+        """Stop a run that makes no progress, unless it is at work for good."""
+        if task.step.long_running and task.percent >= _AT_WORK:
+            return
+        log_change(
+            logger,
+            "run stalled",
+            task=task.task_id,
+            run=task.run,
+            vm=vm.name,
+            percent=task.percent,
+            since=round(now - task.progress_at, 2),
+        )
+        task.stop_wanted = True
+        task.failed_on.add(vm.life)
+        self._quarantine.record(vm.life, task.job.spec.job_id, True, now)
+        self._stop(vm, task.task_id, task.run, now)
+
+    def _note_use(
+        self, vm: Vm, task: Task, running: RunningTask, paced: bool, now: float
+    ) -> None:
         """Keep what the figures say of a run."""
-        task.percent = running.percent
+        if running.percent != task.percent or not task.progress_at or paced:
+            task.percent = running.percent
+            task.progress_at = now
         step = task.step
+        if now - task.progress_at > _STALL_SECONDS and not task.stop_wanted:
+            self._stop_stalled(vm, task, now)
         if not step.fills:
             return
         starved = running.figure < _STARVED_SHARE * step.demand.cpu
@@ -484,7 +515,9 @@
         if ended.how in ("done", "failed"):
             failed = ended.how == "failed"
             if not task.step.long_running:
-                self._quarantine.record(vm.life, ended.task_id, failed, now)
+                self._quarantine.record(vm.life, job.spec.job_id, failed, now)
+                if not failed:
+                    self._speeds.observe(vm, task, now)
         if job.status.final:
             task.state = TaskState.WAITING
             return
@@ -540,7 +573,8 @@
             return
         log_change(logger, "run lost", task=task.task_id, run=task.run, cause=cause)
         task.state = TaskState.WAITING
-        task.seen_at = 0.0
+        task.seen_at = task.progress_at = 0.0
+        task.percent = 0
         task.sent = False
         task.stop_wanted = False
         task.starved_since = 0.0
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/tables.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/tables.py
@@ -105,7 +105,7 @@
     def read(
         self, partition: str, table: str, start: str = "", end: str = ""
     ) -> Result[Page, Failure]:
-        """Return the rows of a partition of a table, from ``start`` to before ``end``."""
+        """Return the rows of a table's partition, from ``start`` to before ``end``."""
 
     @abstractmethod
     def watch(self, table: str, after: int, wait: float) -> Result[Page, Failure]:
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/role.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/role.py
@@ -7,7 +7,6 @@
 from typing import Any, ClassVar
 
 from pollenkeel_kernel.core.registry import Registry
-from pollenkeel_kernel.core.settings import ProcessSettings
 
 
 class Role(ABC):
@@ -15,11 +14,11 @@
 
     Parameters
     ----------
-    settings : ProcessSettings
+    settings : Any
         Checked settings of the class ``settings_class``.
     """
 
-    settings_class: ClassVar[type[ProcessSettings]]
+    settings_class: ClassVar[type[Any]]
 
     @abstractmethod
     def __init__(self, settings: Any) -> None: ...
