--- /dev/null
+++ b/packages/pollenkeel-jobs/tests/core/test_gateway.py
@@ -0,0 +1,65 @@
+"""Acceptance of jobs while the table service misbehaves."""
+
+import pytest
+from jobs_doubles import make_job
+
+from pollenkeel_jobs.core.gateway import Gateway, LeaderContact
+from pollenkeel_jobs.core.leadership import Leadership
+from pollenkeel_jobs.core.model import JobStatus
+from pollenkeel_jobs.core.names import INTAKE_PARTITION, JOBS
+from pollenkeel_kernel import Code, SystemClock
+
+CLOCK = SystemClock()
+
+
+@pytest.fixture
+def gateway(tables):
+    leadership = Leadership("entry-1", "", tables, CLOCK)
+    contact = LeaderContact("entry-1", leadership, CLOCK)
+    return Gateway("entry-1", tables, contact, CLOCK)
+
+
+def soon():
+    return CLOCK.now() + 0.3
+
+
+def is_stored(tables):
+    return (INTAKE_PARTITION, JOBS, "j1") in tables.rows_by_key
+
+
+@pytest.mark.parametrize("faults", [[], ["lost"], ["refused"], ["dropped"]])
+def test_accepted_job_is_stored_once(gateway, tables, faults):
+    """An accepted job must not be lost, whatever became of the first try."""
+    tables.faults = list(faults)
+    assert gateway.submit(make_job(), soon()).is_ok()
+    assert is_stored(tables)
+    version = tables.version
+    assert gateway.submit(make_job(), soon()).is_ok()
+    assert tables.version == version
+
+
+def test_refusal_as_not_run_needs_a_refusal_of_every_try(gateway, tables):
+    """A job that may be stored later must not be refused as not run."""
+    tables.faults = ["refused"] * 20
+    result = gateway.submit(make_job(), soon())
+    assert result.unwrap_err().code is Code.STORE_UNAVAILABLE
+    tables.faults = ["refused", "dropped", *["refused"] * 20]
+    result = gateway.submit(make_job(), soon())
+    assert result.unwrap_err().code is Code.WRITE_UNKNOWN
+    assert tables.apply(tables.held[0]).is_ok()
+
+
+def test_status_without_a_leader_comes_from_the_tables(gateway, tables):
+    """A job must not be denied because no entry leads."""
+    assert gateway.find_status("j1").unwrap() is None
+    gateway.submit(make_job(), soon())
+    assert gateway.find_status("j1").unwrap() is JobStatus.QUEUED
+    tables.reads_fail = True
+    assert gateway.find_status("j1").is_err()
+
+
+def test_cancellation_of_an_unknown_job(gateway):
+    """Only a job that is stored can be cancelled."""
+    assert gateway.cancel("j1", soon()).unwrap() is False
+    gateway.submit(make_job(), soon())
+    assert gateway.cancel("j1", soon()).unwrap() is True
--- /dev/null
+++ b/packages/pollenkeel-jobs/tests/core/test_harm.py
@@ -0,0 +1,95 @@
+"""Learning which image disturbs which, and pacing by it."""
+
+import random
+
+import pytest
+
+from pollenkeel_jobs.core.harm import HarmModel
+from pollenkeel_jobs.core.messages import PairHarm, RunningTask, TaskProfile
+from pollenkeel_jobs.core.pacing import PaceController
+
+CORES = 64_000
+SERVING = TaskProfile("s", "shop", latency_target=100.0, cores=13_000)
+HEAVY = TaskProfile("h", "heavy", fills=True, cores=7_000)
+LIGHT = TaskProfile("l", "light", fills=True, cores=7_000)
+PROFILES = {profile.task_id: profile for profile in (SERVING, HEAVY, LIGHT)}
+
+
+def lists(latency, heavy=7_000.0, light=7_000.0):
+    return [
+        RunningTask("s", 1, "", 100, latency),
+        RunningTask("h", 1, "", 10, heavy),
+        RunningTask("l", 1, "", 10, light),
+    ]
+
+
+@pytest.fixture
+def model():
+    """A model that has seen half a minute of one VM with a varying load."""
+    model = HarmModel()
+    rng = random.Random(3)
+    for second in range(40):
+        heavy = rng.choice([0.0, 7_000.0, 14_000.0])
+        light = rng.choice([0.0, 7_000.0, 14_000.0])
+        latency = 30.0 + rng.uniform(0.0, 8.0) + 300.0 * heavy / CORES
+        model.observe("vm", lists(latency, heavy, light), PROFILES, CORES, second)
+    return model
+
+
+def test_harmful_image_is_told_from_a_harmless_one(model):
+    """Slowing every filling task made the batch jobs late."""
+    assert model.weight("shop", "heavy") == pytest.approx(3.0, rel=0.25)
+    assert model.weight("shop", "light") == 0.0
+
+
+def test_weights_survive_a_change_of_leader(model):
+    """A new leader that starts from nothing repeats the harm while it learns."""
+    successor = HarmModel()
+    successor.load(model.encode())
+    assert successor.weight("shop", "heavy") == model.weight("shop", "heavy")
+    successor.load(b"\x93garbage")
+
+
+def test_only_the_harmful_task_is_slowed(model):
+    """Harmless filling tasks go on at full speed."""
+    controller = PaceController()
+    harms = list(model.pairs({"shop"}, {"heavy", "light"}))
+    paces = list(controller.decide(lists(130.0), PROFILES, harms, CORES, 10.0))
+    assert [pace.task_id for pace in paces] == ["h"]
+    assert paces[0].percent < 100
+
+
+def test_all_are_slowed_where_the_culprit_is_not_known():
+    """A task over its target must be relieved before the model has learnt."""
+    controller = PaceController()
+    paces = list(controller.decide(lists(130.0), PROFILES, [], CORES, 10.0))
+    assert sorted(pace.task_id for pace in paces) == ["h", "l"]
+
+
+def test_pace_comes_back_without_oscillating():
+    """A restored task must not bring the serving task over its target again."""
+    controller = PaceController()
+    harms = [PairHarm("shop", "heavy", 5.0)]
+    now = 10.0
+    percent = 100
+    over = 0
+    for _ in range(60):
+        latency = 50.0 + 500.0 * (7_000 * percent / 100) / CORES
+        over += latency > 100.0
+        task_lists = lists(latency, heavy=70.0 * percent)
+        for pace in controller.decide(task_lists, PROFILES, harms, CORES, now):
+            controller.confirm(pace)
+            if pace.task_id == "h":
+                percent = pace.percent
+        now += 0.5
+    assert over <= 2
+    assert percent >= 20
+
+
+def test_ended_runs_are_forgotten():
+    """The controller's memory is bounded by the running tasks."""
+    controller = PaceController()
+    list(controller.decide(lists(130.0), PROFILES, [], CORES, 10.0))
+    assert controller.active
+    list(controller.decide([], PROFILES, [], CORES, 20.0))
+    assert not controller.active
--- /dev/null
+++ b/packages/pollenkeel-jobs/tests/core/test_records.py
@@ -0,0 +1,71 @@
+"""Rows of the table service."""
+
+import pytest
+from jobs_doubles import make_job
+
+from pollenkeel_jobs.core.model import Demand, Job, JobStatus, StepSpec, TaskState
+from pollenkeel_jobs.core.records import (
+    RecordError,
+    apply_progress,
+    decode_job,
+    decode_status,
+    encode_job,
+    encode_progress,
+)
+
+STEP = StepSpec(
+    3,
+    Demand(1500, 200, 1),
+    2.5,
+    (),
+    checkpointing=True,
+    gang=True,
+    same_rack=True,
+    label="a",
+    data_rack="r1",
+    spread_limit=2,
+    speculative=True,
+    image="i",
+    latency_target=4.0,
+    fills=True,
+    may_miss=0,
+)
+
+
+def test_job_survives_its_row():
+    """A field lost in the row would change the job with the next leader."""
+    spec = make_job(steps=(STEP, StepSpec(1, Demand(1, 1), after=(0,))))
+    assert decode_job(encode_job(spec)) == spec
+
+
+def test_progress_survives_its_row():
+    """Runs, failures and checkpoints must outlive the leader."""
+    job = Job(make_job(), 1.0)
+    job.add_occurrence(0)
+    task = job.tasks_by_step[0, 0][1]
+    task.state, task.run, task.failures = TaskState.PLACED, 4, 2
+    task.runner, task.checkpoint = "vm-1/w~1", "saved"
+    loaded = Job(make_job(), 1.0)
+    apply_progress(loaded, encode_progress(job))
+    copy = loaded.tasks_by_step[0, 0][1]
+    assert (copy.state, copy.run, copy.failures) == (TaskState.PLACED, 4, 2)
+    assert (copy.runner, copy.checkpoint) == ("vm-1/w~1", "saved")
+
+
+def test_ended_job_keeps_its_status_only():
+    """Rows of ended jobs stay small."""
+    job = Job(make_job(), 1.0)
+    job.add_occurrence(0)
+    job.status = JobStatus.FAILED
+    row = encode_progress(job)
+    assert decode_status(row) is JobStatus.FAILED
+    assert len(row) < 20
+
+
+@pytest.mark.parametrize("row", [b"", b"\xc1", b"\x91\x01", b"\x93\x01\x02\x03"])
+def test_malformed_rows_are_refused(row):
+    """Bad input gets a typed error."""
+    with pytest.raises(RecordError):
+        decode_job(row)
+    with pytest.raises(RecordError):
+        decode_status(row)
--- /dev/null
+++ b/packages/pollenkeel-jobs/tests/core/test_scheduler.py
@@ -0,0 +1,319 @@
+"""Decisions of the leader, played without a network."""
+
+import attrs
+import pytest
+from jobs_doubles import EPOCH, Site, VmDouble, make_job
+
+from pollenkeel_jobs.core.harm import HarmModel
+from pollenkeel_jobs.core.messages import OrderOutcome
+from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
+from pollenkeel_jobs.core.names import PROGRESS
+from pollenkeel_jobs.core.records import encode_job
+from pollenkeel_jobs.core.scheduler import WORKER_LEASE, Scheduler
+from pollenkeel_kernel.core.clock import ManualClock
+
+
+def test_nothing_is_sent_before_the_placement_is_recorded(site):
+    """A leader that dies after the order but before the record would start it twice."""
+    site.scheduler.add_job(make_job())
+    site.vms[0].report()
+    planned = site.scheduler.plan()
+    recorded = [write.key for write in planned.writes if write.table == PROGRESS]
+    assert recorded == ["j1"]
+    assert not site.running
+
+
+def test_later_step_waits_for_all_tasks_of_the_step_before(site):
+    """Guards against a start before all tasks of a required step are done."""
+    first = StepSpec(2, Demand(1000, 1000))
+    second = StepSpec(1, Demand(1000, 1000), after=(0,))
+    site.scheduler.add_job(make_job(steps=(first, second)))
+    site.step()
+    assert site.running == ["j1.0.0.0", "j1.0.0.1"]
+    site.vms[0].end("j1.0.0.0")
+    site.step()
+    assert site.running == ["j1.0.0.1"]
+    site.vms[0].end("j1.0.0.1")
+    site.step()
+    assert site.running == ["j1.0.1.0"]
+
+
+def test_done_is_shown_only_once_recorded(site):
+    """A status that is shown before its record is lost with the leader."""
+    site.scheduler.add_job(make_job())
+    site.step()
+    for task_id in site.running:
+        site.vms[0].end(task_id)
+    site.vms[0].report()
+    planned = site.scheduler.plan()
+    assert site.scheduler.find_status("j1") is not JobStatus.DONE
+    site.scheduler.confirm(planned)
+    assert site.scheduler.find_status("j1") is JobStatus.DONE
+
+
+def test_end_is_acknowledged_only_after_its_record(site):
+    """An acknowledged end that is not recorded would run the task again."""
+    site.scheduler.add_job(make_job())
+    site.step()
+    site.vms[0].end("j1.0.0.0")
+    assert site.vms[0].report().recorded_through == 0
+    planned = site.scheduler.plan()
+    assert site.vms[0].report().recorded_through == 0
+    site.scheduler.confirm(planned)
+    assert site.vms[0].report().recorded_through == 1
+
+
+def test_vm_never_gets_more_than_its_capacity(clock):
+    """Guards the capacity of workers that start whatever they are told to."""
+    site = Site(clock, vms=2)
+    site.scheduler.add_job(make_job(steps=(StepSpec(30, Demand(1500, 100)),)))
+    for _ in range(5):
+        site.step()
+        assert all(len(vm.running) <= 2 for vm in site.vms)
+    assert len(site.running) == 4
+
+
+def test_stopping_run_still_counts_against_the_capacity(site):
+    """Capacity is free only once the worker lists the end."""
+    site.scheduler.add_job(make_job(steps=(StepSpec(4, Demand(1000, 100)),)))
+    site.step()
+    site.scheduler.cancel_job("j1")
+    site.scheduler.add_job(make_job("j2"))
+    site.vms[0].report()
+    planned = site.scheduler.plan()
+    assert not [task for work in planned.works for task in work.starts]
+
+
+def test_tasks_of_a_silent_vm_wait_for_the_end_of_its_lease(clock):
+    """Guards against a task that runs in two places at once."""
+    site = Site(clock, vms=2, cpu=1000)
+    site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 100)),)))
+    site.step()
+    silent = next(vm for vm in site.vms if vm.running)
+    site.vms.remove(silent)
+    clock.advance(WORKER_LEASE)
+    site.step()
+    assert not site.running
+    clock.advance(1.0)
+    site.step()
+    assert site.running == ["j1.0.0.0"]
+    assert site.vms[0].running[0].run == 2
+
+
+def test_new_life_of_a_worker_ends_the_runs_of_the_old_one(site):
+    """After a loss of power 146 tasks waited 5.5 s for leases of dead workers."""
+    site.scheduler.add_job(make_job())
+    site.step()
+    vm = site.vms[0]
+    vm.life, vm.running, vm.ended = "vm-0/other~2", [], []
+    site.step()
+    assert [run.run for run in vm.running] == [2, 2]
+
+
+def test_take_over_restarts_what_the_fenced_worker_does_not_list(site):
+    """An order that the old leader recorded but never sent must not be lost."""
+    site.scheduler.add_job(make_job())
+    site.step()
+    vm = site.vms[0]
+    vm.running.pop()
+    successor = _take_over(site)
+    successor.step()
+    runs = {run.task_id: run.run for run in successor.vms[0].running}
+    assert sorted(runs.values()) == [1, 2]
+
+
+def test_take_over_waits_for_a_vm_that_does_not_answer(site):
+    """Until the old leader's leases have ended its runs may still be going on."""
+    site.scheduler.add_job(make_job())
+    site.step()
+    successor = _take_over(site)
+    successor.vms = [VmDouble(successor.scheduler, site.clock, "vm-9")]
+    successor.step()
+    assert not successor.running
+    site.clock.advance(WORKER_LEASE + 1.0)
+    successor.step()
+    assert successor.running == ["j1.0.0.0", "j1.0.0.1"]
+
+
+def test_take_over_does_not_wait_for_the_old_worker_of_a_vm_that_came_back(site):
+    """A new worker on the same VM proves that the old one has ended."""
+    site.scheduler.add_job(make_job())
+    site.step()
+    successor = _take_over(site)
+    successor.vms[0].life = "vm-0/new~9"
+    successor.vms[0].running = []
+    successor.step()
+    assert successor.running == ["j1.0.0.0", "j1.0.0.1"]
+
+
+def _take_over(site):
+    """Return a site whose scheduler has loaded what the first one recorded."""
+    successor = Site(site.clock)
+    successor.scheduler = Scheduler(EPOCH + 1, site.clock, HarmModel())
+    old = site.vms[0]
+    vm = VmDouble(successor.scheduler, site.clock, old.name, old.zone)
+    vm.life, vm.running, vm.ended = old.life, old.running, old.ended
+    successor.vms = [vm]
+    row = site.rows_by_key[PROGRESS, "j1"]
+    successor.scheduler.load([(encode_job(make_job()), row)])
+    successor.open()
+    return successor
+
+
+def test_unknown_outcome_is_withdrawn_before_the_next_run(site):
+    """An order without a reply may be carried out seconds later."""
+    site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 100)),)))
+    site.step()
+    vm = site.vms[0]
+    vm.running.clear()
+    site.clock.advance(1.0)
+    site.step()
+    assert not vm.running
+    site.clock.advance(1.0)
+    site.step()
+    assert [stop.run for stop in vm.withdrawn] == [1]
+    site.step()
+    assert [run.run for run in vm.running] == [2]
+
+
+def test_refused_start_is_placed_again(site):
+    """A refusal is a proof that the run did not happen."""
+    site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 100)),)))
+    site.step()
+    vm = site.vms[0]
+    vm.running.clear()
+    refused = OrderOutcome("j1.0.0.0", 1, "refused", "late")
+    site.scheduler.take_outcomes(vm.vm, [refused])
+    site.step()
+    assert [run.run for run in vm.running] == [2]
+
+
+def test_cancelled_job_is_stopped_and_starts_nothing(site):
+    """Guards against tasks that run on after the cancellation."""
+    site.scheduler.add_job(make_job(steps=(StepSpec(6, Demand(1000, 100)),)))
+    site.step()
+    site.scheduler.cancel_job("j1")
+    site.step()
+    site.step()
+    assert not site.running
+    assert site.scheduler.find_status("j1") is JobStatus.CANCELLED
+
+
+def test_failed_attempts_are_counted_over_a_change_of_leader(site):
+    """More runs than the queue's attempts would exceed its budget."""
+    site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 100)),)))
+    site.step()
+    site.vms[0].end("j1.0.0.0", "failed")
+    site.step()
+    site.vms[0].end("j1.0.0.0", "failed")
+    site.step()
+    site.step()
+    assert not site.running
+    assert site.scheduler.find_status("j1") is JobStatus.FAILED
+
+
+def test_long_running_task_is_restarted_however_it_ends(site):
+    """A task that lasts must come back after any end."""
+    step = StepSpec(1, Demand(1000, 100), long_running=True)
+    site.scheduler.add_job(make_job(steps=(step,)))
+    site.step()
+    for number, how in enumerate(("failed", "failed", "failed", "done", "lapsed")):
+        site.vms[0].end("j1.0.0.0", how)
+        site.step()
+        assert [run.run for run in site.vms[0].running] == [number + 2]
+
+
+@pytest.mark.parametrize("cause", ["closed zone", "draining", "old orders", "silent"])
+def test_no_start_where_it_is_not_allowed(site, cause):
+    """The last check before a start sees what has changed since the placement."""
+    site.vms[0].report()
+    if cause == "closed zone":
+        site.open(closed=["z0"])
+    elif cause == "draining":
+        site.vms[0].draining = True
+        site.vms[0].report()
+    else:
+        site.clock.advance(4.5)
+    if cause == "old orders":
+        site.vms[0].report()
+    site.scheduler.add_job(make_job())
+    planned = site.scheduler.plan()
+    assert not [task for work in planned.works for task in work.starts]
+
+
+def test_zone_that_closes_after_the_placement_gets_no_order(site):
+    """An order must not be sent on a placement made before the evacuation."""
+    site.scheduler.add_job(make_job())
+    site.vms[0].report()
+    planned = site.scheduler.plan()
+    site.scheduler.confirm(planned)
+    site.open(closed=["z0"])
+    work = planned.works[0]
+    starts, _ = site.scheduler.make_starts(work.vm, work.starts)
+    assert not starts
+
+
+def test_spread_limit_is_kept(clock):
+    """At most so many tasks of a step may run on one VM."""
+    site = Site(clock, vms=2, cpu=8000)
+    step = StepSpec(6, Demand(100, 100), spread_limit=2)
+    site.scheduler.add_job(make_job(steps=(step,)))
+    site.step()
+    assert [len(vm.running) for vm in site.vms] == [2, 2]
+
+
+def test_label_of_the_worker_is_required(site):
+    """A task with a constraint runs only where the label is."""
+    step = StepSpec(1, Demand(100, 100), label="gpu")
+    site.scheduler.add_job(make_job(steps=(step,)))
+    site.step()
+    assert not site.running
+
+
+def test_stalled_run_is_moved(site):
+    """Tasks on a worker that stands still ran until the end of the day."""
+    site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 100)),)))
+    site.step()
+    for _ in range(6):
+        site.clock.advance(0.5)
+        site.step()
+    assert site.vms[0].withdrawn
+    site.step()
+    assert [run.run for run in site.vms[0].running] == [2]
+
+
+def test_run_with_progress_is_not_stalled(site):
+    """A long run that goes on is left alone."""
+    site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 100)),)))
+    site.step()
+    vm = site.vms[0]
+    for percent in range(1, 12):
+        site.clock.advance(0.5)
+        vm.running = [attrs.evolve(run, percent=percent) for run in vm.running]
+        site.step()
+    assert not vm.withdrawn
+
+
+def test_jobs_that_can_meet_their_objective_go_before_late_ones(clock):
+    """Under overload, work that is late already must not make other work late."""
+    site = Site(clock, cpu=1000)
+    step = StepSpec(1, Demand(1000, 100), 1.0)
+    site.scheduler.add_job(make_job("late", steps=(step,)))
+    clock.advance(10.0)
+    site.scheduler.add_job(make_job("fresh", steps=(step,)))
+    site.step()
+    assert site.running == ["fresh.0.0.0"]
+
+
+def test_lease_is_not_extended_without_leadership(site):
+    """A process that may have a successor must not keep workers running."""
+    assert site.vms[0].report(grants=False).lease_until == 0
+    assert site.vms[0].report().lease_until > 0
+
+
+def test_job_rows_survive_unknown_content():
+    """One malformed row must not keep a leader from loading the others."""
+    site = Site(ManualClock())
+    good = encode_job(make_job())
+    site.scheduler.load([(b"\x00garbage", None), (good, None)])
+    assert site.scheduler.find_status("j1") is JobStatus.QUEUED
--- /dev/null
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -0,0 +1,217 @@
+"""Fakes at the interfaces: table service in memory, VMs that report, a clock."""
+
+import attrs
+import pytest
+from result import Err, Ok
+
+from pollenkeel_jobs.core.harm import HarmModel
+from pollenkeel_jobs.core.messages import EndedTask, RunningTask, VmReport
+from pollenkeel_jobs.core.model import Demand, JobSpec, QueuePolicy, StepSpec
+from pollenkeel_jobs.core.operations import Operations
+from pollenkeel_jobs.core.scheduler import Scheduler
+from pollenkeel_jobs.core.tables import Failure, FailureKind, Page, Row, TableService
+from pollenkeel_kernel.core.clock import ManualClock
+
+EPOCH = 7
+
+
+class MemoryTables(TableService):
+    """Tables in memory; ``faults`` lists what the next transactions do.
+
+    A fault is ``refused`` (no effect), ``lost`` (effect, no reply) or ``dropped`` (no
+    effect, no reply). ``held`` keeps dropped transactions that may be carried out late.
+    """
+
+    def __init__(self):
+        self.rows_by_key = {}
+        self.version = 0
+        self.faults = []
+        self.held = []
+        self.reads_fail = False
+
+    def transact(self, transaction):
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "refused":
+            return Err(Failure(FailureKind.NOT_DONE))
+        if fault == "dropped":
+            self.held.append(transaction)
+            return Err(Failure(FailureKind.UNKNOWN))
+        result = self.apply(transaction)
+        return Err(Failure(FailureKind.UNKNOWN)) if fault == "lost" else result
+
+    def apply(self, transaction):
+        part = transaction.partition
+        for condition in transaction.conditions:
+            row = self.rows_by_key.get((part, condition.table, condition.key))
+            if (row.version if row else 0) != condition.version:
+                return Err(Failure(FailureKind.CONFLICT, (row,) if row else ()))
+        self.version += 1
+        for write in transaction.writes:
+            key = (part, write.table, write.key)
+            self.rows_by_key[key] = Row(
+                write.table, write.key, write.value, self.version
+            )
+        return Ok(self.version)
+
+    def read(self, partition, table, start="", end=""):
+        if self.reads_fail:
+            return Err(Failure(FailureKind.NOT_DONE))
+        rows = sorted(
+            (
+                row
+                for (part, name, key), row in self.rows_by_key.items()
+                if part == partition
+                and name == table
+                and key >= start
+                and (not end or key < end)
+            ),
+            key=lambda row: row.key,
+        )
+        return Ok(Page(tuple(rows), self.version))
+
+    def watch(self, table, after, wait):
+        rows = [
+            row
+            for (_, name, _), row in self.rows_by_key.items()
+            if name == table and row.version > after
+        ]
+        return Ok(Page(tuple(rows), self.version))
+
+
+class VmDouble:
+    """A VM whose worker runs what it is told; reports to a scheduler."""
+
+    def __init__(self, scheduler, clock, name="vm-1", zone="z1", cpu=4000, memory=8000):
+        self.scheduler = scheduler
+        self.clock = clock
+        self.name = name
+        self.zone = zone
+        self.capacity = Demand(cpu, memory)
+        self.life = f"{name}/w~1"
+        self.running = []
+        self.ended = []
+        self.withdrawn = []
+        self.draining = False
+        self.epoch = scheduler.epoch
+        self.vm = scheduler.add_vm(name, "tcp://nowhere")
+
+    def report(self, grants=True):
+        report = VmReport(
+            self.name,
+            0.0,
+            self.name,
+            self.epoch,
+            fenced_epoch=self.epoch,
+            worker=self.life,
+            service="desk",
+            zone=self.zone,
+            state="draining" if self.draining else "ready",
+            capacity=self.capacity,
+            labels=["a", f"rack-{self.zone}"],
+            clock=self.clock.now() * 1000,
+            running=list(self.running),
+            ended=list(self.ended),
+            withdrawn=list(self.withdrawn),
+        )
+        return self.scheduler.take_report(report, grants)
+
+    def start(self, orders):
+        """Take start orders."""
+        for order in orders:
+            self.running.append(RunningTask(order.task_id, order.run))
+
+    def end(self, task_id, how="done", checkpoint=""):
+        """End the run of a task."""
+        run = next(r for r in self.running if r.task_id == task_id)
+        self.running.remove(run)
+        number = len(self.ended) + 1
+        self.ended.append(EndedTask(number, task_id, run.run, how, checkpoint))
+
+
+class Site:
+    """A scheduler with VMs; ``step`` does what the leader's loop does."""
+
+    def __init__(self, clock, vms=1, **vm_settings):
+        self.clock = clock
+        self.harm = HarmModel()
+        self.scheduler = Scheduler(EPOCH, clock, self.harm)
+        self.vms = [
+            VmDouble(self.scheduler, clock, f"vm-{n}", f"z{n}", **vm_settings)
+            for n in range(vms)
+        ]
+        self.rows_by_key = {}
+        self.open()
+
+    def open(self, closed=()):
+        """Tell the scheduler the operators' orders."""
+        operations = Operations(1, (), frozenset(closed))
+        self.scheduler.follow_operations(operations, self.clock.now())
+
+    def step(self, record=True):
+        """Report, plan, record and deliver; return the orders by VM."""
+        self.scheduler.follow_operations(self.scheduler._operations, self.clock.now())
+        for vm in self.vms:
+            vm.report()
+        done = self.scheduler.plan()
+        if not record:
+            return {}
+        for write in done.writes:
+            self.rows_by_key[write.table, write.key] = write.value
+        self.scheduler.confirm(done)
+        starts_by_vm = {}
+        for work in done.works:
+            double = next(vm for vm in self.vms if vm.vm is work.vm)
+            orders, _ = self.scheduler.make_starts(work.vm, work.starts)
+            double.start(orders)
+            starts_by_vm[double.name] = orders
+            for stop in work.stops:
+                double.withdrawn.append(stop)
+                if any(run.task_id == stop.task_id for run in double.running):
+                    double.end(stop.task_id, "stopped", "saved")
+        for vm in self.vms:
+            vm.report()
+        return starts_by_vm
+
+    @property
+    def running(self):
+        """Ids of all running tasks, one for each run."""
+        return sorted(run.task_id for vm in self.vms for run in vm.running)
+
+
+def make_job(job_id="j1", steps=None, **policy):
+    """Return a job of one step with two tasks unless told otherwise."""
+    steps = steps or (StepSpec(2, Demand(1000, 1000), 1.0),)
+    queue = QueuePolicy("q", "desk", **{"attempts": 2, "stretch": 2.0, **policy})
+    return JobSpec(job_id, queue, "run 1", tuple(steps))
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def site(clock):
+    return Site(clock)
+
+
+@pytest.fixture
+def tables():
+    return MemoryTables()
+
+
+@attrs.define
+class AskRecorder:
+    """Answers whether the holder leads and counts the questions."""
+
+    leads: bool = True
+    asked: int = 0
+
+    def __call__(self, leader):
+        self.asked += 1
+        return self.leads
+
+
+@pytest.fixture
+def ask():
+    return AskRecorder()
--- a/standins/pollenkeel_standins/main.py
+++ b/standins/pollenkeel_standins/main.py
@@ -15,7 +15,9 @@
 
 from pollenkeel_kernel.core.messages import Resources
 from pollenkeel_standins.base import Standin
+from pollenkeel_standins.metadata_store import MetadataStore
 from pollenkeel_standins.platform import Platform, PlatformOptions
+from pollenkeel_standins.runner import Runner, RunnerOptions
 from pollenkeel_standins.upstream import Upstream, UpstreamOptions
 from pollenkeel_standins.worker import Worker, WorkerOptions
 
@@ -49,6 +51,23 @@
 )
 
 
+@main.command(name="metadata-store")
+@_serving_options(threads=64)
+def metadata_store(port: int, threads: int) -> None:
+    """Metadata store of the users' platform."""
+    _run(MetadataStore(), "metadata-store", port, threads)
+
+
+@main.command()
+@_serving_options(threads=16)
+@click.option("--id", "runner_id", required=True)
+@click.option("--agent", required=True, help="URL at which it registers")
+@click.option("--zone", required=True)
+def runner(port: int, threads: int, runner_id: str, agent: str, zone: str) -> None:
+    """Runner of the users' platform."""
+    _run(Runner(RunnerOptions(runner_id, agent, zone)), runner_id, port, threads)
+
+
 @main.command()
 @_serving_options(threads=48)
 @click.option("--writes-per-second", default=0.0, help="rows; 0: no limit")
--- /dev/null
+++ b/standins/pollenkeel_standins/metadata_store.py
@@ -0,0 +1,142 @@
+"""Stand-in of the platform's metadata store: rows with versions and a feed."""
+
+from __future__ import annotations
+
+import base64
+import threading
+import time
+from typing import Any
+
+import attrs
+
+from pollenkeel_standins.base import Standin, parse_json
+from pollenkeel_standins.faults import Faults
+from pollenkeel_standins.serving import Answer, Request, json_answer
+
+_PAGE = 500
+_Key = tuple[str, str, str]
+
+
+@attrs.define
+class _StoredRow:
+    value: str | None
+    version: int
+
+
+class MetadataStore(Standin):
+    """Rows with versions; ``POST /operator`` writes as the operators do."""
+
+    def __init__(self) -> None:
+        super().__init__(Faults())
+        self._condition = threading.Condition()
+        self._rows_by_key: dict[_Key, _StoredRow] = {}
+        self._version = 0
+        self._transactions = 0
+        self._conflicts = 0
+
+    def record(self) -> dict[str, Any]:
+        """Return the number of transactions and conflicts."""
+        return {"transactions": self._transactions, "conflicts": self._conflicts}
+
+    def loses_answer(self, request: Request) -> bool:
+        """Return whether the switch ``lose_answers`` applies to a request."""
+        return request.path[-1] == "rows-tx"
+
+    def serve(self, request: Request) -> Answer:
+        """Carry out a call."""
+        call = request.path[-1]
+        if call == "operator":
+            return self._write_operator(parse_json(request.body) or {})
+        if call == "rows-tx":
+            return self._transact(parse_json(request.body) or {})
+        if call == "rows-get":
+            return self._read(request.query)
+        if call == "rows-feed":
+            return self._watch(request.query)
+        return json_answer({}, 404)
+
+    def _write_operator(self, body: dict[str, Any]) -> Answer:
+        value = body.get("value")
+        text = None if value is None else base64.b64encode(value.encode()).decode()
+        with self._condition:
+            self._version += 1
+            key = ("op", "", str(body["key"]))
+            self._rows_by_key[key] = _StoredRow(text, self._version)
+            self._condition.notify_all()
+        return json_answer({"Ver": self._version})
+
+    def _transact(self, body: dict[str, Any]) -> Answer:
+        with self._condition:
+            conditions = body.get("ExpectedRev", [])
+            if any(self._get_version(row) != row["Ver"] for row in conditions):
+                self._conflicts += 1
+                rows = [
+                    self._describe(_get_key(row))
+                    for row in conditions
+                    if self._get_version(row)
+                ]
+                return json_answer({"rows": rows, "Ver": self._version}, 412)
+            self._version += 1
+            self._transactions += 1
+            for row in body.get("Puts", []):
+                stored = _StoredRow(row["Value"], self._version)
+                self._rows_by_key[_get_key(row)] = stored
+            for row in body.get("Remove", []):
+                self._rows_by_key[_get_key(row)] = _StoredRow(None, self._version)
+            self._condition.notify_all()
+            return json_answer({"Ver": self._version, "NowMs": _now_ms()})
+
+    def _read(self, query: dict[str, str]) -> Answer:
+        with self._condition:
+            keys = sorted(
+                key
+                for key, row in self._rows_by_key.items()
+                if key[0] == query["Table"]
+                and key[1] == query.get("part", "")
+                and key[2] >= query.get("From", "")
+                and (not query.get("To") or key[2] < query["To"])
+                and row.value is not None
+            )
+            body = {
+                "rows": [self._describe(key) for key in keys[:_PAGE]],
+                "HasMore": len(keys) > _PAGE,
+                "Ver": self._version,
+                "NowMs": _now_ms(),
+            }
+            return json_answer(body)
+
+    def _watch(self, query: dict[str, str]) -> Answer:
+        after = int(query["After"])
+        ends_at = time.monotonic() + int(query.get("WaitMs", 0)) / 1000
+        with self._condition:
+            while True:
+                changed = [
+                    (row.version, key)
+                    for key, row in self._rows_by_key.items()
+                    if key[0] == query["Table"] and row.version > after
+                ]
+                left = ends_at - time.monotonic()
+                if changed or left <= 0:
+                    break
+                self._condition.wait(left)
+            rows = [self._describe(key) for _, key in sorted(changed)]
+            return json_answer({"rows": rows, "Ver": self._version})
+
+    def _get_version(self, row: dict[str, Any]) -> int:
+        stored = self._rows_by_key.get(_get_key(row))
+        return stored.version if stored and stored.value is not None else 0
+
+    def _describe(self, key: _Key) -> dict[str, Any]:
+        row = self._rows_by_key[key]
+        fields = {"Table": key[0], "part": key[1], "Key": key[2], "Ver": row.version}
+        if row.value is None:
+            return {**fields, "Deleted": True}
+        return {**fields, "Value": row.value}
+
+
+def _get_key(row: dict[str, Any]) -> _Key:
+    return row["Table"], row.get("part", ""), row["Key"]
+
+
+def _now_ms() -> int:
+    return int(time.monotonic() * 1000)
--- /dev/null
+++ b/standins/pollenkeel_standins/runner.py
@@ -0,0 +1,121 @@
+"""Stand-in of the platform's runner, which announces itself to the agent beside it."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from typing import Any
+
+import attrs
+import urllib3
+
+from pollenkeel_kernel.core.clock import SystemClock
+from pollenkeel_standins.base import Standin, parse_json
+from pollenkeel_standins.faults import Faults
+from pollenkeel_standins.runner_model import RunnerModel
+from pollenkeel_standins.serving import Answer, Request, json_answer
+
+_LOOK_SECONDS = 0.02
+
+
+@attrs.frozen
+class RunnerOptions:
+    """Settings of a runner.
+
+    ``agent`` is the URL at which it registers; ``heartbeat`` is in seconds; ``cpu`` in
+    thousandths of a core, ``memory`` in megabytes.
+    """
+
+    id: str
+    agent: str
+    zone: str
+    service: str = "desk"
+    cpu: int = 4000
+    memory: int = 8000
+    heartbeat: float = 0.3
+
+
+class Runner(Standin):
+    """Runs tasks in name only and records what it ran."""
+
+    def __init__(self, options: RunnerOptions) -> None:
+        super().__init__(Faults())
+        self._options = options
+        self._model = RunnerModel(SystemClock())
+        self._born = time.time_ns() // 1_000_000
+        self._stop = threading.Event()
+
+    def start(self, port: int, threads: int) -> str:
+        """Start serving and announcing."""
+        url = super().start(port, threads)
+        threading.Thread(target=self._announce, args=(url,), daemon=True).start()
+        return url
+
+    def shut_down(self) -> None:
+        """Stop announcing and serving."""
+        self._stop.set()
+        super().shut_down()
+
+    def record(self) -> dict[str, Any]:
+        """Return what truly ran; runs that go on have no end."""
+        with self._model.lock:
+            self._model.settle()
+            running = [
+                {"task": run.task, "run": run.run, "start": run.started_at}
+                for run in self._model.runs_by_task.values()
+            ]
+            return {"runs": [*self._model.record, *running]}
+
+    def serve(self, request: Request) -> Answer:
+        """Carry out an order of the agent."""
+        body = parse_json(request.body) or {}
+        expected = request.headers.get("Pollenkeel-Expected-Instance", "")
+        if expected not in ("", self._options.id):
+            return self._answer({}, 421)
+        verb = request.path[-1]
+        if verb == "run-start":
+            refusal = self._model.start(body)
+        elif verb == "run-stop":
+            refusal = self._model.stop(body)
+        elif verb == "pace":
+            refusal = ""
+        else:
+            refusal = self._model.hold(body)
+        if refusal:
+            return self._answer({"Reason": refusal}, 409)
+        if verb != "hold":
+            return self._answer({}, 200)
+        ends_at = time.monotonic() + body.get("WaitMs", 0) / 1000
+        lists = self._model.lists()
+        while not lists["Ended"] and time.monotonic() < ends_at:
+            time.sleep(_LOOK_SECONDS)
+            lists = self._model.lists()
+        return self._answer(lists, 200)
+
+    def _answer(self, body: dict[str, Any], status: int) -> Answer:
+        return json_answer({**body, "ClockMs": self._model.now_ms()}, status)
+
+    def _announce(self, url: str) -> None:
+        options = self._options
+        pool = urllib3.PoolManager(retries=False, timeout=1.0)
+        path = f"{options.agent}/api/instances/{options.id}/heartbeat"
+        sequence = 0
+        while not self._stop.wait(options.heartbeat):
+            sequence += 1
+            body = {
+                "Backend": options.service,
+                "Address": url.partition("//")[2],
+                "Zone": options.zone,
+                "State": "ready",
+                "Capacity": {"Cpu": options.cpu, "MemMb": options.memory},
+                "Labels": ["a", "r1"],
+                "Seq": sequence,
+                "born": self._born,
+            }
+            headers = {"Content-Type": "application/json"}
+            try:
+                pool.request("POST", path, body=json.dumps(body), headers=headers)
+            except urllib3.exceptions.HTTPError:
+                # The agent may not be up yet; the next announcement follows soon.
+                continue
