--- /dev/null
+++ b/standins/pollenkeel_standins/job_site.py
@@ -0,0 +1,199 @@
+"""Entries, agents, runners and a metadata store as separate processes."""
+
+from __future__ import annotations
+
+import json
+import socket
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import urllib3
+import yaml
+
+from pollenkeel_standins.processes import ManagedProcess, wait_until
+
+_HOST = "desk.example"
+_PREFIX = "/jobs/"
+_CLIENT_SECONDS = 3.0
+
+
+def _find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class JobSite:
+    """A small site; use it as a context manager.
+
+    Parameters
+    ----------
+    directory : Path
+        Directory of settings and logs.
+    entries, vms : int
+        Number of entries and of VMs with an agent and a runner each.
+    """
+
+    def __init__(self, directory: Path, entries: int = 2, vms: int = 3) -> None:
+        self._directory = directory
+        self._pool = urllib3.PoolManager(retries=False)
+        self._settings_by_name: dict[str, dict[str, Any]] = {}
+        self.processes_by_name: dict[str, ManagedProcess] = {}
+        self._roles_by_name: dict[str, str] = {}
+        self._entry_count = entries
+        self._vm_count = vms
+
+    def __enter__(self) -> JobSite:
+        self._start_standin("store", "metadata-store")
+        store = self.processes_by_name["store"].url.removeprefix("http://")
+        self.write_config(1)
+        for number in range(self._entry_count):
+            settings = {
+                "clients_address": self._make_address(),
+                "ready_address": self._make_address(),
+            }
+            self._start_process(f"entry-{number}", "job-entry", store, settings)
+        for number in range(self._vm_count):
+            register = self._make_address()
+            options = ["--id", f"i-{number}", "--agent", f"http://{register}"]
+            self._start_standin(f"runner-{number}", "runner", *options, "--zone", "z1")
+            runner = self.processes_by_name[f"runner-{number}"].url
+            settings = {
+                "worker_address": runner.removeprefix("http://"),
+                "register_address": register,
+            }
+            self._start_process(f"agent-{number}", "job-agent", store, settings)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self.processes_by_name.values():
+            process.kill()
+
+    def restart(self, name: str) -> None:
+        """Start a process again that has ended."""
+        self._launch(name)
+
+    def write_config(self, version: int) -> None:
+        """Write the operators' configuration with one queue."""
+        route = {
+            "Name": "desk-jobs",
+            "Host": _HOST,
+            "PathPrefix": _PREFIX,
+            "Backend": "desk",
+            "Attempts": 3,
+            "Stretch": 2.0,
+            "TargetLatencyMs": 1000,
+        }
+        self.write_operator("config", {"Version": version, "Routes": [route]})
+
+    def write_operator(self, key: str, value: dict[str, Any] | None) -> None:
+        """Write a row as the operators do; None removes it."""
+        text = None if value is None else json.dumps(value)
+        url = f"{self.processes_by_name['store'].url}/operator"
+        self._pool.request("POST", url, json={"key": key, "value": text}, timeout=5.0)
+
+    def set_store_faults(self, **faults: Any) -> None:
+        """Set the fault switches of the metadata store."""
+        url = f"{self.processes_by_name['store'].url}/faults"
+        self._pool.request("POST", url, json=faults, timeout=5.0)
+
+    def call(self, method: str, job_id: str, entry: int, body: Any = None) -> Any:
+        """Send a client's request; return the reply, or None if there is none."""
+        address = self._settings_by_name[f"entry-{entry}"]["clients_address"]
+        try:
+            return self._pool.request(
+                method,
+                f"http://{address}{_PREFIX}{job_id}",
+                body=None if body is None else json.dumps(body),
+                headers={"Host": _HOST, "Content-Type": "application/json"},
+                timeout=_CLIENT_SECONDS,
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+
+    def submit(self, job_id: str, steps: list[dict[str, Any]], text: str) -> None:
+        """Submit a job through any entry until it is accepted."""
+        body = {"Spec": text, "Steps": steps}
+        tries = iter(range(10_000))
+
+        def is_accepted() -> bool:
+            reply = self.call("POST", job_id, next(tries) % self._entry_count, body)
+            return reply is not None and reply.status == 200
+
+        wait_until(is_accepted, 30.0, f"{job_id} is accepted")
+
+    def find_state(self, job_id: str) -> str:
+        """Return the state of a job, or an empty text if no entry knows."""
+        for entry in range(self._entry_count):
+            reply = self.call("GET", job_id, entry)
+            if reply is not None and reply.status == 200:
+                return str(reply.json()["State"])
+        return ""
+
+    def wait_state(self, job_id: str, state: str, limit: float = 40.0) -> None:
+        """Wait for a state of a job."""
+        wait_until(
+            lambda: self.find_state(job_id) == state, limit, f"{job_id} is {state}"
+        )
+
+    def find_leader(self) -> int:
+        """Return the number of the entry that became leader last."""
+        found: list[tuple[str, int]] = []
+        for number in range(self._entry_count):
+            log = self.processes_by_name[f"entry-{number}"].log_lines()
+            found += [
+                (line["time"], number)
+                for line in log
+                if line.get("event") == "became leader"
+            ]
+        return max(found)[1] if found else -1
+
+    def read_runs(self) -> list[dict[str, Any]]:
+        """Return what truly ran on all runners; a run that goes on ends now."""
+        runs = []
+        for number in range(self._vm_count):
+            url = f"{self.processes_by_name[f'runner-{number}'].url}/record"
+            record = self._pool.request("GET", url, timeout=5.0).json()
+            runs += [{**run, "runner": number} for run in record["runs"]]
+        now = time.time()
+        return [{"end": now, "how": "running", **run} for run in runs]
+
+    def _make_address(self) -> str:
+        return f"127.0.0.1:{_find_port()}"
+
+    def _start_standin(self, name: str, kind: str, *options: str) -> None:
+        command = [sys.executable, "-m", "pollenkeel_standins", kind, *options]
+        process = ManagedProcess(name, command, self._directory)
+        self.processes_by_name[name] = process
+        process.wait_ready()
+
+    def _start_process(
+        self, name: str, role: str, store: str, settings: dict[str, Any]
+    ) -> None:
+        self._settings_by_name[name] = {
+            "id": name,
+            "zone": "z1",
+            "peer_address": self._make_address(),
+            "store_address": store,
+            **settings,
+        }
+        path = self._directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(self._settings_by_name[name]))
+        self._roles_by_name[name] = role
+        self._launch(name)
+
+    def _launch(self, name: str) -> None:
+        path = self._directory / f"{name}.yaml"
+        command = [
+            sys.executable,
+            "-m",
+            "pollenkeel_platform",
+            self._roles_by_name[name],
+        ]
+        process = ManagedProcess(
+            name, [*command, "--settings", str(path)], self._directory
+        )
+        self.processes_by_name[name] = process
+        process.wait_ready()
--- a/standins/pollenkeel_standins/processes.py
+++ b/standins/pollenkeel_standins/processes.py
@@ -115,6 +115,12 @@
         """Return the end of the process's standard error output."""
         return self._log.read_bytes()[-_LOG_TAIL_BYTES:].decode(errors="replace")
 
+    def log_lines(self) -> list[dict[str, Any]]:
+        """Return the structured lines that the process has logged."""
+        lines = self._output.read_text().splitlines()
+        lines += self._log.read_text(errors="replace").splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
     def freeze(self) -> None:
         """Stop the process with SIGSTOP."""
         self._popen.send_signal(signal.SIGSTOP)
