Let a leader that is to stop lead on until another entry can take over

Change: standbys ask the holder every 0.6 s, which shows it that they could take over; a leader that is to stop resigns once one has asked, or when its time is nearly over.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -22,6 +22,10 @@
 _OBSERVE_SECONDS = 0.3
 #: Longest wait for the holder's answer whether it leads, in seconds.
 _ASK_SECONDS = 0.4
+#: Seconds for which an entry that has asked counts as able to take over.
+_STANDBY_SECONDS = 1.5
+#: Seconds between looks for a successor.
+_STANDBY_LOOK = 0.1
 #: Seconds between looks at the operators' orders while leading.
 _OPERATIONS_SECONDS = 0.05
 
@@ -38,11 +42,14 @@
         Data centre of its VM.
     peer_address : str
         ``tcp://IP:PORT`` for messages of other processes.
+    hand_over_seconds : float
+        Longest time for which a leader that is to stop waits for a successor.
     """
 
     id: str
     zone: str
     peer_address: str
+    hand_over_seconds: float = 5.0
 
 
 class Entry:
@@ -71,6 +78,7 @@
         advice: AdviceService,
     ) -> None:
         self._advice = advice
+        self._standby_seen_at = 0.0
         self.operations = operations
         self._settings = settings
         self._tables = tables
@@ -88,18 +96,39 @@
         return self.operations.current.version > 0
 
     def run(self, stop: threading.Event) -> None:
-        """Follow the operators' orders and take part in elections until ``stop``."""
-        feed = threading.Thread(
-            target=self.operations.run, args=(stop,), name="operations", daemon=True
-        )
-        feed.start()
+        """Follow the operators' orders and take part in elections until ``stop``.
+
+        A leader goes on leading until another entry can take over, or until its time
+        to stop is nearly over.
+        """
+        stopped = threading.Event()
+        for target, args in (
+            (self.operations.run, (stopped,)),
+            (self._await_successor, (stop, stopped)),
+        ):
+            threading.Thread(target=target, args=args, daemon=True).start()
         while not stop.is_set():
             if self._leadership.observe(self._ask_leader):
-                self._lead(stop)
+                self._lead(stopped)
             stop.wait(_OBSERVE_SECONDS)
+        stopped.set()
         self._leadership.resign()
         self._leadership.stop()
 
+    def close(self) -> None:
+        """Stop taking messages of other processes."""
+        self._server.close()
+
+    def _await_successor(self, stop: threading.Event, stopped: threading.Event) -> None:
+        """Set ``stopped`` once ``stop`` is set and another entry can take over."""
+        stop.wait()
+        deadline = self._clock.now() + self._settings.hand_over_seconds
+        while self._clock.now() < deadline and not stopped.is_set():
+            if self._clock.now() - self._standby_seen_at < _STANDBY_SECONDS:
+                break
+            stopped.wait(_STANDBY_LOOK)
+        stopped.set()
+
     def _lead(self, stop: threading.Event) -> None:
         term = Term(
             self._settings.id,
@@ -130,6 +159,7 @@
 
     def _handle(self, message: Message) -> Message:
         if isinstance(message, LeaderQuery):
+            self._standby_seen_at = self._clock.now()
             leads = not self._leadership.yields(message.epoch)
             return LeaderQueryReply(self._settings.id, self._clock.now(), leads)
         term = self._contact.term
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -34,8 +34,9 @@
 _RETURN_SECONDS = 1.0
 #: Seconds between renewals of an idle leader, and between looks at the lease row.
 _RENEW_INTERVAL = 0.5
-#: Seconds without a change of the lease row after which its holder is asked.
-_ASK_SECONDS = 0.8
+#: Seconds between two questions whether the holder of the lease leads; they also show
+#: the holder that this entry could take over.
+_ASK_INTERVAL = 0.6
 #: Seconds of failing writes after which a leader yields to an entry that can write.
 _YIELD_SECONDS = 0.5
 #: Pause between tries of a write that was not done, in seconds.
@@ -109,6 +110,7 @@
         self._read_failed = False
         self._valid_until = 0.0
         self._failing_since = 0.0
+        self._ask_at = 0.0
         self.epoch = 0
         self.leader: LeaseRecord | None = None
 
@@ -158,7 +160,8 @@
             leader is not None and (not leader.address or self._is_own_past(leader))
         )
         unchanged = began - self._seen_at
-        if not free and leader is not None and unchanged > _ASK_SECONDS:
+        if not free and leader is not None and now >= self._ask_at:
+            self._ask_at = now + _ASK_INTERVAL
             free = not ask(leader)
         if free or unchanged > TAKEOVER_SECONDS:
             return self._acquire(version)
--- a/packages/pollenkeel-jobs/tests/jobs_doubles.py
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -1,5 +1,7 @@
 """Fakes at the interfaces: table service in memory, VMs that report, a clock."""
 
+import socket
+
 import attrs
 import pytest
 from result import Err, Ok
@@ -215,3 +217,15 @@
 @pytest.fixture
 def ask():
     return AskRecorder()
+
+
+@pytest.fixture
+def free_ports():
+    """Two ports that are free when the test begins."""
+    sockets = [socket.socket() for _ in range(2)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
