--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -7,7 +7,8 @@
 import attrs
 
 from pollenkeel_jobs.core.advice import AdviceService
-from pollenkeel_jobs.core.gateway import Gateway, LeaderContact
+from pollenkeel_jobs.core.contact import LeaderContact
+from pollenkeel_jobs.core.gateway import Gateway
 from pollenkeel_jobs.core.leader import Term
 from pollenkeel_jobs.core.leadership import Leadership, LeaseRecord
 from pollenkeel_jobs.core.messages import LeaderQuery, LeaderQueryReply
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -18,6 +18,8 @@
     JobQueryReply,
     QueueQuery,
     QueueQueryReply,
+    RelayWrite,
+    RelayWriteReply,
     VmOrders,
     VmOrdersReply,
     VmReport,
@@ -35,6 +37,7 @@
 from pollenkeel_jobs.core.records import RecordError, decode_job
 from pollenkeel_jobs.core.scheduler import Scheduler, VmWork
 from pollenkeel_jobs.core.tables import (
+    Condition,
     FailureKind,
     Page,
     RowWrite,
@@ -348,6 +351,20 @@
 
     # Messages.
 
+    def _relay(self, message: RelayWrite) -> str:
+        """Write rows for an entry and return the kind of failure, if any."""
+        transaction = Transaction(
+            message.partition,
+            tuple(
+                Condition(row.table, row.key, row.expected_version)
+                for row in message.rows
+                if row.expected_version >= 0
+            ),
+            tuple(RowWrite(row.table, row.key, row.value) for row in message.rows),
+        )
+        result = self._tables.transact(transaction)
+        return result.err_value.kind.name if isinstance(result, Err) else ""
+
     def handle(self, message: Message) -> Message | None:
         """Answer a message for the leader; None if it is of another kind."""
         now = self.clock.now()
@@ -357,6 +374,8 @@
             if self._loaded:
                 self.take_row(message.job_id, message.row)
             return Done(self.name, now)
+        if isinstance(message, RelayWrite):
+            return RelayWriteReply(self.name, now, self._relay(message))
         if isinstance(message, JobQuery):
             status = (
                 self.scheduler.find_status(message.job_id) if self._loaded else None
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -220,6 +220,34 @@
     row: bytes = b""
 
 
+@attrs.frozen
+class RelayedRow:
+    """Row to be written by another process, if its version is as expected.
+
+    ``expected_version`` is -1 where there is no condition.
+    """
+
+    table: str
+    key: str
+    value: bytes
+    expected_version: int = -1
+
+
+@attrs.frozen
+class RelayWrite(Message):
+    """Asks the leader to write rows for an entry that may not reach the store."""
+
+    partition: str
+    rows: list[RelayedRow]
+
+
+@attrs.frozen
+class RelayWriteReply(Message):
+    """Result of a relayed write: empty if it is done, else the kind of failure."""
+
+    failure: str = ""
+
+
 @attrs.frozen
 class JobQuery(Message):
     """Asks the leader for the status of a job."""
--- a/packages/pollenkeel-jobs/tests/core/test_gateway.py
+++ b/packages/pollenkeel-jobs/tests/core/test_gateway.py
@@ -2,12 +2,16 @@
 
 import pytest
 from jobs_doubles import make_job
+from result import Err, Ok
 
-from pollenkeel_jobs.core.gateway import Gateway, LeaderContact
+from pollenkeel_jobs.core.contact import LeaderContact
+from pollenkeel_jobs.core.gateway import Gateway
 from pollenkeel_jobs.core.leadership import Leadership
+from pollenkeel_jobs.core.messages import JobQueryReply, RelayWrite, RelayWriteReply
 from pollenkeel_jobs.core.model import JobStatus
 from pollenkeel_jobs.core.names import INTAKE_PARTITION, JOBS
-from pollenkeel_kernel import Code, SystemClock
+from pollenkeel_jobs.core.tables import Condition, RowWrite, Transaction
+from pollenkeel_kernel import Code, Refusal, SystemClock
 
 CLOCK = SystemClock()
 
@@ -63,3 +67,48 @@
     assert gateway.cancel("j1", soon()).unwrap() is False
     gateway.submit(make_job(), soon())
     assert gateway.cancel("j1", soon()).unwrap() is True
+
+
+class RelayDouble:
+    """A leader that reaches the table service, or says that it does not lead."""
+
+    def __init__(self, tables, leads=True):
+        self.tables = tables
+        self.leads = leads
+        self.relayed = 0
+
+    def ask(self, message, seconds):
+        return self.call(message, seconds).ok()
+
+    def call(self, message, seconds):
+        if not self.leads:
+            return Err(Refusal(Code.NOT_OWNER, "not here"))
+        if not isinstance(message, RelayWrite):
+            return Ok(JobQueryReply("leader", 0.0, ""))
+        self.relayed += 1
+        row = message.rows[0]
+        condition = Condition(row.table, row.key, row.expected_version)
+        conditions = (condition,) if row.expected_version >= 0 else ()
+        write = RowWrite(row.table, row.key, row.value)
+        result = self.tables.apply(Transaction(message.partition, conditions, (write,)))
+        failure = result.err().kind.name if result.is_err() else ""
+        return Ok(RelayWriteReply("leader", 0.0, failure))
+
+
+@pytest.mark.parametrize("fault", ["refused", "dropped", "lost"])
+def test_entry_that_the_store_turns_away_accepts_through_the_leader(tables, fault):
+    """Clients of such an entry got 504 or no answer for as long as it lasted."""
+    relay = RelayDouble(tables)
+    gateway = Gateway("entry-1", tables, relay, CLOCK)
+    tables.faults = [fault] * 20
+    assert gateway.submit(make_job(), soon()).is_ok()
+    assert relay.relayed == 1
+    assert is_stored(tables)
+
+
+def test_leader_is_not_asked_while_the_store_answers(tables):
+    """A relay for each job would double the load of the table service."""
+    relay = RelayDouble(tables)
+    gateway = Gateway("entry-1", tables, relay, CLOCK)
+    assert gateway.submit(make_job(), soon()).is_ok()
+    assert relay.relayed == 0
