Write structured lines to standard output without blocking; reload on SIGHUP; metrics

Cause: the log went to standard error from the deciding threads, so that a reader that stops reading would have stopped the process; SIGHUP had its default action, which ends the process; nothing was served on a metrics address. Change: LineWriter (bounded, drops are counted and reported), settings are read again on SIGHUP and the changed fields logged, counters and histograms of the scheduler with a state dump on a metrics address of the settings.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from typing import Any
 
 import attrs
 
@@ -116,6 +117,18 @@
         self._leadership.resign()
         self._leadership.stop()
 
+    def describe(self) -> dict[str, Any]:
+        """Return the state for the dump."""
+        leader = self._leadership.leader
+        term = self._contact.term
+        return {
+            "leads": self._leadership.leads,
+            "leader": leader,
+            "configuration": self.operations.current.version,
+            "closed_zones": sorted(self.operations.current.closed_zones),
+            "term": term.scheduler.describe() if term is not None else None,
+        }
+
     def close(self) -> None:
         """Stop taking messages of other processes."""
         self._server.close()
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
@@ -19,6 +19,7 @@
     QueueQueryReply,
     RelayedRow,
 )
+from pollenkeel_jobs.core.metrics import JOBS_SUBMITTED
 from pollenkeel_jobs.core.model import JobSpec, JobStatus
 from pollenkeel_jobs.core.names import (
     CANCELS,
@@ -102,6 +103,7 @@
         row = encode_job(spec)
         result = self._writer.write(RelayedRow(JOBS, spec.job_id, row, 0), deadline)
         if isinstance(result, Err):
+            JOBS_SUBMITTED.labels(result.err_value.code.value).inc()
             log_change(
                 logger,
                 "job not accepted",
@@ -110,6 +112,7 @@
                 cause=result.err_value.detail,
             )
             return result
+        JOBS_SUBMITTED.labels(Code.OK.value).inc()
         log_change(logger, "job accepted", job=spec.job_id, new=result.ok_value)
         if result.ok_value:
             self._tell(JobNotice(self._name, self._clock.now(), spec.job_id, row))
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from pollenkeel_jobs.core.metrics import RUNS_LOST
 from pollenkeel_jobs.core.model import Job, JobSpec, JobStatus, Task, TaskState
 from pollenkeel_jobs.core.records import RecordError, apply_progress, decode_job
 from pollenkeel_kernel.core.clock import Clock
@@ -134,6 +135,7 @@
         if task.state is not TaskState.PLACED:
             return
         log_change(logger, "run lost", task=task.task_id, run=task.run, cause=cause)
+        RUNS_LOST.labels(cause.partition(":")[0]).inc()
         task.state = TaskState.WAITING
         task.reset_run()
         if not task.job.status.final:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -24,6 +24,7 @@
     VmOrdersReply,
     VmReport,
 )
+from pollenkeel_jobs.core.metrics import COMMIT_SECONDS
 from pollenkeel_jobs.core.names import (
     CANCELS,
     HARM,
@@ -252,7 +253,8 @@
         self.over.wait(_PASS_GAP)
         current = self.scheduler.plan()
         if current.writes:
-            self.leadership.commit(current.writes)
+            with COMMIT_SECONDS.time():
+                self.leadership.commit(current.writes)
         else:
             self.leadership.renew()
         self.scheduler.confirm(current)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -4,6 +4,7 @@
 
 import threading
 from collections.abc import Iterable
+from typing import Any
 
 import attrs
 import logbook
@@ -21,6 +22,7 @@
     VmReport,
     VmReportReply,
 )
+from pollenkeel_jobs.core.metrics import RUNS_ENDED, RUNS_PLACED, WAIT_SECONDS
 from pollenkeel_jobs.core.migration import Migration
 from pollenkeel_jobs.core.model import (
     Job,
@@ -205,6 +207,26 @@
         with self._lock:
             self._fleet.follow_operations(operations, confirmed_at)
 
+    def describe(self) -> dict[str, Any]:
+        """Return the state for the dump: VMs with their tasks, and what waits."""
+        with self._lock:
+            return {
+                "epoch": self.epoch,
+                "waiting": [task.task_id for task in self._jobs.ready],
+                "vms": [
+                    {
+                        "name": vm.name,
+                        "worker": vm.life,
+                        "draining": vm.draining,
+                        "heard_at": vm.heard_at,
+                        "load": round(vm.cpu_load, 3),
+                        "slowness": round(vm.slowness, 2),
+                        "tasks": sorted(vm.tasks_by_id),
+                    }
+                    for vm in self._fleet.vms()
+                ],
+            }
+
     # Advice.
 
     def take_question(self) -> AdviceQuestion | None:
@@ -374,6 +396,7 @@
             how=ended.how,
             seconds=round(now - task.placed_at, 3),
         )
+        RUNS_ENDED.labels(ended.how).inc()
         vm.remove(task)
         self._jobs.note_started(task.job)
         self._take_checkpoint(task, ended.checkpoint)
@@ -623,6 +646,8 @@
         self._fleet.quarantine.started(vm.life, now)
         self._jobs.dirty[task.job] = None
         self._unsent.append(PlannedStart(task, run))
+        RUNS_PLACED.inc()
+        WAIT_SECONDS.observe(now - task.ready_at)
         log_change(
             logger,
             "task placed",
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/role.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/role.py
@@ -27,6 +27,10 @@
     def start(self) -> dict[str, str]:
         """Start serving and return the addresses that the kernel chose."""
 
+    def reload(self, settings: Any) -> bool:
+        """Take changed settings; return False if they wait for the next start."""
+        return False
+
     @abstractmethod
     def run(self, stop: threading.Event) -> None:
         """Serve until ``stop`` is set, then shut down gracefully and return."""
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/daemon.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/daemon.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+import attrs
 import click
 import logbook
 from result import Err
@@ -54,14 +55,17 @@
         if isinstance(loaded, Err):
             click.echo(str(loaded.err_value), err=True)
             sys.exit(_BAD_USAGE)
-        _run(role_class, loaded.ok_value)
+        _run(role_class, loaded.ok_value, path)
 
     return command
 
 
-def _run(role_class: type[Role], settings: Any) -> None:
-    setup_logging(settings.id, settings.log_level.value)
+def _run(role_class: type[Role], settings: Any, path: Path) -> None:
+    lines = setup_logging(settings.id, settings.log_level.value)
     stop = threading.Event()
+    reload = threading.Event()
+    # The default action of SIGHUP ends the process.
+    signal.signal(signal.SIGHUP, lambda *_: reload.set())
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.set())
     role = role_class(settings)
@@ -70,5 +74,31 @@
     # One line on standard output tells a starter which ports the kernel chose.
     click.echo(json.dumps({"event": "ready", "id": settings.id, **addresses}))
     sys.stdout.flush()
+    threading.Thread(
+        target=_follow_settings, args=(role, settings, path, reload), daemon=True
+    ).start()
     role.run(stop)
     log_change(logger, "process stopped")
+    lines.flush()
+
+
+def _follow_settings(
+    role: Role, settings: Any, path: Path, reload: threading.Event
+) -> None:
+    """Hand changed settings to the role after each SIGHUP."""
+    while True:
+        reload.wait()
+        reload.clear()
+        loaded = load_settings(path, type(settings))
+        if isinstance(loaded, Err):
+            cause = str(loaded.err_value)
+            log_change(logger, "settings not reloaded", cause=cause)
+            continue
+        changed = [
+            field.name
+            for field in attrs.fields(type(settings))
+            if getattr(settings, field.name) != getattr(loaded.ok_value, field.name)
+        ]
+        settings = loaded.ok_value
+        in_force = role.reload(settings)
+        log_change(logger, "settings reloaded", changed=changed, in_force=in_force)
