--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -167,14 +167,19 @@
             )
 
     def _ask_leader(self, leader: LeaseRecord) -> bool:
-        query = LeaderQuery(self._settings.id, self._clock.now(), leader.epoch)
+        query = LeaderQuery(
+            self._settings.id,
+            self._clock.now(),
+            leader.epoch,
+            self._settings.peer_address,
+        )
         reply = self._contact.ask(query, _ASK_SECONDS)
         return not isinstance(reply, LeaderQueryReply) or reply.leads
 
     def _handle(self, message: Message) -> Message:
         if isinstance(message, LeaderQuery):
             self._standby_seen_at = self._clock.now()
-            leads = not self._leadership.yields(message.epoch)
+            leads = not self._leadership.yields(message.epoch, message.address)
             return LeaderQueryReply(self._settings.id, self._clock.now(), leads)
         term = self._contact.term
         reply = None
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -167,9 +167,16 @@
             return self._acquire(version)
         return False
 
-    def yields(self, epoch: int) -> bool:
+    def yields(self, epoch: int, successor: str) -> bool:
         """Give the lease up to an entry that reaches the table service.
 
+        Parameters
+        ----------
+        epoch : int
+            Term that the entry asks about.
+        successor : str
+            Address of the entry, which becomes leader if the answer is True.
+
         Returns
         -------
         bool
@@ -179,8 +186,12 @@
             return True
         failing = self._failing_since
         if failing and self._clock.now() - failing > _YIELD_SECONDS:
-            log_change(logger, "lease given up to an entry that can write")
+            log_change(
+                logger, "lease given up to an entry that can write", address=successor
+            )
             self.epoch = 0
+            # The lease row cannot be read here, so this is how the successor is found.
+            self.leader = LeaseRecord(0, successor, successor, 0)
             return True
         return False
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -268,9 +268,15 @@
 
     The sender has just reached the table service. A leader that has not, gives up its
     lease to it.
+
+    Attributes
+    ----------
+    address : str
+        Address at which the sender takes messages.
     """
 
     epoch: int
+    address: str = ""
 
 
 @attrs.frozen
--- a/packages/pollenkeel-jobs/tests/core/test_leadership.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leadership.py
@@ -108,11 +108,13 @@
     """An entry that the table service turns away kept the lease for 2.5 s."""
     leader = make(tables, clock)
     leader.observe(ask)
-    assert not leader.yields(leader.epoch)
+    assert not leader.yields(leader.epoch, "tcp://entry-2")
     leader._failing_since = clock.now()
     clock.advance(1.0)
     epoch = leader.epoch
-    assert leader.yields(epoch)
+    assert leader.yields(epoch, "tcp://entry-2")
+    # Else the entry would relay its clients' jobs to itself.
+    assert leader.leader.address == "tcp://entry-2"
     assert not leader.leads
     with pytest.raises(LeadershipLost):
         leader.commit(write())
