--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -92,11 +92,19 @@
         Where the lease row lives.
     clock : Clock
         Source of time.
+    retry_interval : float
+        Pause between tries of a write that was not done, in seconds.
     """
 
     def __init__(
-        self, holder: str, address: str, tables: TableService, clock: Clock
+        self,
+        holder: str,
+        address: str,
+        tables: TableService,
+        clock: Clock,
+        retry_interval: float = _RETRY_INTERVAL,
     ) -> None:
+        self._retry_interval = retry_interval
         self._holder = f"{holder}/{time.time_ns()}"
         self._address = address
         self._tables = tables
@@ -283,7 +291,7 @@
                 log_change(
                     logger, "table service does not accept writes", cause=failure.detail
                 )
-            self._stopped.wait(_RETRY_INTERVAL)
+            self._stopped.wait(self._retry_interval)
         raise LeadershipLost("the process stops")
 
     def _write(
