--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -299,6 +299,7 @@
         vm.labels = frozenset(report.labels)
         vm.draining = report.state != "ready"
         if report.clock:
+            vm.listed_at = now
             self._take_lists(vm, report, now)
             note_pressure(vm, report.running)
             note_fill_use(vm, report.running, now)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -9,6 +9,8 @@
 
 #: Seconds after which a VM without a report gets no new tasks.
 FRESH_SECONDS = 1.2
+#: Seconds of the worker's lease that must be left for a start.
+_LEASE_NEEDED = 2.0
 #: Share of its declared processor use that a serving task takes on average.
 _SERVING_USE = 0.5
 
@@ -27,6 +29,9 @@
         Life of the worker according to the last report.
     heard_at : float
         Time of the last report, in seconds since the Unix epoch.
+    listed_at : float
+        Time of the last report with the worker's lists, which an agent cannot give
+        while its worker does not answer; in seconds since the Unix epoch.
     fenced : bool
         The worker has taken the leader's fencing token.
     lease_until : float
@@ -56,6 +61,7 @@
     capacity: Demand = attrs.field(factory=Demand)
     labels: frozenset[str] = frozenset()
     heard_at: float = 0.0
+    listed_at: float = 0.0
     fenced: bool = False
     clock: float = 0.0
     lease_until: float = 0.0
@@ -101,7 +107,8 @@
             and self.fenced
             and not self.draining
             and self.lease_until > 0
-            and now - self.heard_at < FRESH_SECONDS
+            and now - self.listed_at < FRESH_SECONDS
+            and now < self.lapsed_at - _LEASE_NEEDED
         )
 
     def count_of_step(self, task: Task) -> int:
--- a/packages/pollenkeel-jobs/tests/core/test_scheduler.py
+++ b/packages/pollenkeel-jobs/tests/core/test_scheduler.py
@@ -8,7 +8,7 @@
 from pollenkeel_jobs.core.advice import Advice
 from pollenkeel_jobs.core.fleet import WORKER_LEASE
 from pollenkeel_jobs.core.harm import HarmModel
-from pollenkeel_jobs.core.messages import OrderOutcome
+from pollenkeel_jobs.core.messages import OrderOutcome, VmReport
 from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
 from pollenkeel_jobs.core.names import PROGRESS
 from pollenkeel_jobs.core.records import encode_job
@@ -482,3 +482,28 @@
     site.step()
     filled = [task for task in site.running if task.startswith("batch")]
     assert 0 < len(filled) * 3.0 * 7_000 / 64_000 <= 1.0
+
+
+def test_vm_whose_worker_does_not_answer_gets_nothing(site):
+    """An agent whose worker was gone for good kept reporting; its VM got the same tasks
+    many times a second, and the writes of that filled the table service.
+    """
+    site.vms[0].report()
+    site.clock.advance(2.0)
+    site.open()
+    report = VmReport(
+        "vm-0", 0.0, "vm-0", EPOCH, worker=site.vms[0].life, service="desk", zone="z0"
+    )
+    site.scheduler.take_report(report, grants=True)
+    site.scheduler.add_job(make_job())
+    assert not site.scheduler.plan().works
+
+
+def test_vm_without_a_valid_lease_gets_nothing(site):
+    """A run placed under a lease that has lapsed was given up in the next pass."""
+    site.vms[0].report()
+    site.clock.advance(WORKER_LEASE)
+    site.open()
+    site.vms[0].report(grants=False)
+    site.scheduler.add_job(make_job())
+    assert not site.scheduler.plan().works
