Pause everything that fills when a serving task stays over its target

Cause: pacing slows the images that are known to do harm, or all of them if none is known. If the known image is not the culprit but is there all the time, the culprit is never slowed. Ruled out: exempting VMs whose serving task stays over its target with everything paused; a try let filling tasks go on there, which adds harm on top. Change: HarmGuard pauses everything that fills on a VM after 1.5 s over the target, whatever has been learnt, until the latency is below it. Before: test_harm_by_an_image_that_is_thought_harmless_is_bounded[99.0] fails (the serving task is over its target to the end). After: it passes.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from pollenkeel_jobs.core.harm_guard import HarmGuard
 from pollenkeel_jobs.core.messages import PairHarm, RunningTask, TaskProfile
 
 #: Pressure, latency over target, above which filling tasks are slowed.
@@ -55,6 +56,7 @@
 
 @attrs.frozen
 class _Serving:
+    run: tuple[str, int]
     image: str
     pressure: float
 
@@ -70,6 +72,7 @@
     def __init__(self) -> None:
         self._paces_by_run: dict[tuple[str, int], _RunPace] = {}
         self._sent_by_run: dict[tuple[str, int], int] = {}
+        self._guard = HarmGuard()
 
     @property
     def active(self) -> bool:
@@ -112,10 +115,15 @@
                 filling.append(_Filling(task, profile, pace))
             elif profile.latency_target:
                 pressure = task.figure / profile.latency_target
-                serving.append(_Serving(profile.image, pressure))
+                run = (task.task_id, task.run)
+                serving.append(_Serving(run, profile.image, pressure))
         self._forget({(item.task.task_id, item.task.run) for item in filling})
+        paused = self._guard.update({item.run: item.pressure for item in serving}, now)
         for item in filling:
-            if now - item.pace.changed_at >= _SETTLE_SECONDS:
+            if paused:
+                self._set(item.pace, 0.0, now)
+                item.pace.blind = True
+            elif now - item.pace.changed_at >= _SETTLE_SECONDS:
                 self._adjust(item, serving, filling, weights, cores, now)
         for item in filling:
             percent = int(item.pace.percent)
--- a/packages/pollenkeel-jobs/tests/core/test_harm.py
+++ b/packages/pollenkeel-jobs/tests/core/test_harm.py
@@ -121,3 +121,43 @@
         now += 0.5
     assert worst < 100.0
     assert sum(percents.values()) > 40
+
+
+def play_pacing(controller, harms, latency_of, seconds):
+    """Play pacing every 0.4 s while tasks of the heavy image end and begin.
+
+    ``latency_of`` takes the percent of each filling task. Returns the longest time in
+    seconds for which the serving task was over its target.
+    """
+    percent_by_task = {"h": 100, "l": 100}
+    over = longest = 0.0
+    for tick in range(int(seconds / 0.4)):
+        now = 10.0 + 0.4 * tick
+        heavy_run = 1 + tick // 2
+        if tick % 2 == 0:
+            percent_by_task["h"] = 100
+        latency = latency_of(percent_by_task)
+        over = over + 0.4 if latency > SERVING.latency_target else 0.0
+        longest = max(longest, over)
+        running = [
+            RunningTask("s", 1, "", 100, latency),
+            RunningTask("h", heavy_run, "", 10, 70.0 * percent_by_task["h"]),
+            RunningTask("l", 1, "", 10, 70.0 * percent_by_task["l"]),
+        ]
+        for pace in controller.decide(running, PROFILES, harms, CORES, now):
+            controller.confirm(pace)
+            percent_by_task[pace.task_id] = pace.percent
+    return longest
+
+
+@pytest.mark.parametrize("base", [60.0, 99.0])
+def test_harm_by_an_image_that_is_thought_harmless_is_bounded(base):
+    """With another image blamed, a serving task stayed over its target (rule HARM)."""
+    harms = [PairHarm("shop", "heavy", 3.0)]
+    longest = play_pacing(
+        PaceController(),
+        harms,
+        lambda percent_by_task: base + 0.9 * percent_by_task["l"],
+        40.0,
+    )
+    assert longest <= 3.0
