Wait for late agents when all processes have restarted

Cause: after a loss of all processes a new leader gave up the runs of every VM that had not reported 5.55 s after its own start. Ruled out: runs that overlap; the lease of the worker had lapsed. Change: runs of silent VMs are given up at the earliest 3 s after the first report of the term. With an ordinary change of leader the first report comes at once, so nothing waits longer than before. Before: test_end_is_learnt_from_an_agent_that_restarts_later_than_others fails. After: it passes.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -23,6 +23,10 @@
 _LAPSE_RESERVE = 0.4
 #: Seconds after which every lease granted before has surely ended.
 _LAPSE_SECONDS = WORKER_LEASE * _CLOCK_FACTOR + _LAPSE_RESERVE
+#: Seconds after the first report of a term for which silent agents may still be starting.
+#: When all processes restart, agents come back at different times, and their workers may
+#: list ends that nobody has recorded.
+_START_SPREAD_SECONDS = 3.0
 #: Seconds for which the operators' orders count as known after they were read.
 _OPERATIONS_SECONDS = 4.0
 
@@ -41,6 +45,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._began_at = clock.now()
+        self._first_heard_at = float("inf")
         self._vms_by_name: dict[str, Vm] = {}
         self._vms_by_life: dict[str, Vm] = {}
         self._orphans_by_life: dict[str, dict[str, Task]] = {}
@@ -103,6 +108,7 @@
             Tasks that were placed on the lives before, which have ended.
         """
         log_change(logger, "worker known", vm=vm.name, worker=life, before=vm.life)
+        self._first_heard_at = min(self._first_heard_at, self._clock.now())
         lost = list(vm.tasks_by_id.values())
         for task in lost:
             vm.remove(task)
@@ -133,7 +139,10 @@
                 for task in list(vm.tasks_by_id.values()):
                     vm.remove(task)
                     yield task
-        if now > self._began_at + _LAPSE_SECONDS:
+        if now > max(
+            self._began_at + _LAPSE_SECONDS,
+            self._first_heard_at + _START_SPREAD_SECONDS,
+        ):
             for tasks in self._orphans_by_life.values():
                 yield from tasks.values()
             self._orphans_by_life.clear()
--- a/packages/pollenkeel-jobs/tests/core/test_scheduler.py
+++ b/packages/pollenkeel-jobs/tests/core/test_scheduler.py
@@ -138,6 +138,26 @@
     assert successor.running == ["j1.0.0.0", "j1.0.0.1"]
 
 
+def test_end_is_learnt_from_an_agent_that_restarts_later_than_others(site):
+    """After a kill of all processes a task that was done ran again."""
+    site.scheduler.add_job(make_job())
+    site.step()
+    returning = site.vms[0]
+    returning.end("j1.0.0.0")
+    successor = _take_over(site)
+    late = successor.vms.pop()
+    successor.vms = []
+    site.clock.advance(WORKER_LEASE + 2.0)
+    successor.step()
+    successor.vms = [VmDouble(successor.scheduler, site.clock, "vm-9")]
+    successor.step()
+    assert not successor.running
+    site.clock.advance(1.0)
+    late.report()
+    successor.step()
+    assert "j1.0.0.0" not in successor.running
+
+
 def test_take_over_does_not_wait_for_the_old_worker_of_a_vm_that_came_back(site):
     """A new worker on the same VM proves that the old one has ended."""
     site.scheduler.add_job(make_job())
