--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -23,9 +23,9 @@
 _LAPSE_RESERVE = 0.4
 #: Seconds after which every lease granted before has surely ended.
 _LAPSE_SECONDS = WORKER_LEASE * _CLOCK_FACTOR + _LAPSE_RESERVE
-#: Seconds after the first report of a term for which silent agents may still be starting.
-#: When all processes restart, agents come back at different times, and their workers may
-#: list ends that nobody has recorded.
+#: Seconds after the first report of a term for which silent agents may still be
+#: starting. When all processes restart, agents come back at different times, and their
+#: workers may list ends that nobody has recorded.
 _START_SPREAD_SECONDS = 3.0
 #: Seconds for which the operators' orders count as known after they were read.
 _OPERATIONS_SECONDS = 4.0
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
@@ -23,10 +23,10 @@
 from pollenkeel_jobs.core.model import JobSpec, JobStatus
 from pollenkeel_jobs.core.names import (
     CANCELS,
-    INTAKE_PARTITION,
     JOBS,
     LEADER_PARTITION,
     PROGRESS,
+    get_intake_partition,
 )
 from pollenkeel_jobs.core.records import RecordError, decode_status, encode_job
 from pollenkeel_jobs.core.tables import (
@@ -144,7 +144,7 @@
     def _read_status(self, job_id: str) -> Result[JobStatus | None, Refusal]:
         for partition, table in (
             (LEADER_PARTITION, PROGRESS),
-            (INTAKE_PARTITION, JOBS),
+            (get_intake_partition(job_id), JOBS),
         ):
             found = self._tables.read_row(partition, table, job_id)
             if isinstance(found, Err):
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/intake.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/intake.py
@@ -9,7 +9,7 @@
 
 from pollenkeel_jobs.core.contact import LeaderContact
 from pollenkeel_jobs.core.messages import RelayedRow, RelayWrite, RelayWriteReply
-from pollenkeel_jobs.core.names import INTAKE_PARTITION
+from pollenkeel_jobs.core.names import get_intake_partition
 from pollenkeel_jobs.core.tables import (
     Condition,
     Failure,
@@ -35,7 +35,10 @@
 _RELAY_SECONDS = 1.0
 #: Seconds after a failed write for which the leader is asked at once.
 _AVOID_SECONDS = 3.0
-_THREADS = 12
+_THREADS = 24
+#: Longest wait for the reply to one write, in seconds. A slow table service works
+#: through a queue, so a repeat would wait longer than the first try.
+_WRITE_SECONDS = 2.5
 #: Codes that say that no leader has taken a message.
 _NOT_TAKEN = frozenset({Code.NOT_OWNER, Code.PEER_UNREACHABLE})
 
@@ -113,7 +116,7 @@
 
     def _try_both(self, row: RelayedRow, deadline: float) -> Failure | None:
         """Write directly and, if that takes long or fails, through the leader."""
-        direct = self._pool.submit(self._write_direct, row)
+        direct = self._pool.submit(self._write_direct, row, deadline)
         avoid = self._clock.now() - self._failed_at < _AVOID_SECONDS
         failure = self._await(direct, 0.0 if avoid else _HEDGE_SECONDS)
         if failure is None or failure.kind in (
@@ -123,6 +126,8 @@
             return failure
         relayed = self._write_relayed(row, deadline)
         if relayed is None or relayed.kind is FailureKind.CONFLICT:
+            if not direct.done():
+                self._failed_at = self._clock.now()
             return None
         left = deadline - _ANSWER_SECONDS - self._clock.now()
         direct_failure = self._await(direct, max(0.0, left))
@@ -132,14 +137,16 @@
             return relayed
         return direct_failure
 
-    def _write_direct(self, row: RelayedRow) -> Failure | None:
+    def _write_direct(self, row: RelayedRow, deadline: float) -> Failure | None:
         conditions: tuple[Condition, ...] = ()
         if row.expected_version >= 0:
             conditions = (Condition(row.table, row.key, row.expected_version),)
         writes = (RowWrite(row.table, row.key, row.value),)
-        result = self._tables.transact(
-            Transaction(INTAKE_PARTITION, conditions, writes)
-        )
+        left = deadline - _ANSWER_SECONDS - self._clock.now()
+        if left <= 0:
+            return Failure(FailureKind.NOT_DONE, detail="no time left to write")
+        transaction = Transaction(get_intake_partition(row.key), conditions, writes)
+        result = self._tables.transact(transaction, min(left, _WRITE_SECONDS))
         if not isinstance(result, Err):
             self._failed_at = float("-inf")
             return None
@@ -153,7 +160,7 @@
         seconds = min(_RELAY_SECONDS, deadline - _ANSWER_SECONDS - now)
         if seconds <= 0:
             return Failure(FailureKind.NOT_DONE, detail="no time left for the leader")
-        message = RelayWrite(self._name, now, INTAKE_PARTITION, [row])
+        message = RelayWrite(self._name, now, get_intake_partition(row.key), [row])
         result = self._contact.call(message, seconds)
         if isinstance(result, Err):
             refusal = result.err_value
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from concurrent.futures import ThreadPoolExecutor
 
 import logbook
 import msgpack
@@ -28,12 +29,13 @@
 from pollenkeel_jobs.core.names import (
     CANCELS,
     HARM,
-    INTAKE_PARTITION,
+    INTAKE_PARTITIONS,
     JOBS,
     LEADER_PARTITION,
     MEMBER_PARTITION,
     MEMBERS,
     PROGRESS,
+    get_intake_partition,
 )
 from pollenkeel_jobs.core.records import RecordError, decode_job
 from pollenkeel_jobs.core.scheduler import Scheduler, VmWork
@@ -68,6 +70,10 @@
 #: Longest wait of one call to a feed, in seconds.
 _FEED_SECONDS = 5.0
 _RETRY_SECONDS = 0.2
+#: Duration of the leader's own writes above which it relays none for others.
+_SLOW_WRITE_SECONDS = 0.25
+#: Partitions that are read at the same time.
+_LOAD_THREADS = 4
 #: Seconds between looks for steps that wait for advice.
 _ADVICE_INTERVAL = 0.02
 #: Seconds between looks for old jobs.
@@ -216,8 +222,8 @@
     def _load(self, stop: threading.Event) -> None:
         """Read all jobs; renews the lease meanwhile."""
         self._versions = {}
-        jobs = self._read_all(INTAKE_PARTITION, JOBS, stop)
-        cancels = self._read_all(INTAKE_PARTITION, CANCELS, stop)
+        jobs = self._read_intake(JOBS, stop)
+        cancels = self._read_intake(CANCELS, stop)
         progress = self._read_all(LEADER_PARTITION, PROGRESS, stop)
         harm = self._read_all(LEADER_PARTITION, HARM, stop)
         for row in harm.rows:
@@ -238,6 +244,19 @@
             epoch=self.scheduler.epoch,
         )
 
+    def _read_intake(self, table: str, stop: threading.Event) -> Page:
+        """Return the rows of all intake partitions, as of the earliest read."""
+        with ThreadPoolExecutor(_LOAD_THREADS) as pool:
+            pages = list(
+                pool.map(
+                    lambda partition: self._read_all(partition, table, stop),
+                    INTAKE_PARTITIONS,
+                )
+            )
+        # A feed from the earliest version repeats what a later read has shown already.
+        version = min(page.version for page in pages)
+        return Page(tuple(row for page in pages for row in page.rows), version)
+
     def _read_all(self, partition: str, table: str, stop: threading.Event) -> Page:
         while not stop.is_set():
             self.leadership.renew()
@@ -272,7 +291,8 @@
         for job_id in self.scheduler.forget_old_jobs():
             self.leadership.commit((RowWrite(PROGRESS, job_id, None),))
             rows = (RowWrite(JOBS, job_id, None), RowWrite(CANCELS, job_id, None))
-            removed = self._tables.transact(Transaction(INTAKE_PARTITION, (), rows))
+            partition = get_intake_partition(job_id)
+            removed = self._tables.transact(Transaction(partition, (), rows))
             if isinstance(removed, Err):
                 detail = removed.err_value.detail
                 logger.warning(
@@ -303,16 +323,21 @@
         after = self._versions[table]
         while not self.over.is_set():
             page = self._tables.watch(table, after, _FEED_SECONDS)
-            if isinstance(page, Err):
-                if page.err_value.kind is FailureKind.HISTORY_GONE:
-                    page = self._tables.read_all(INTAKE_PARTITION, table)
-                if isinstance(page, Err):
-                    self.over.wait(_RETRY_SECONDS)
-                    continue
-            for row in page.ok_value.rows:
+            if not isinstance(page, Err):
+                found = page.ok_value
+            elif page.err_value.kind is FailureKind.HISTORY_GONE:
+                log_change(logger, "history gone, table is read whole", table=table)
+                try:
+                    found = self._read_intake(table, self.over)
+                except LeadershipLost:
+                    return
+            else:
+                self.over.wait(_RETRY_SECONDS)
+                continue
+            for row in found.rows:
                 if row.value is not None:
                     self.take_row(row.key, row.value if table == JOBS else b"")
-            after = max(after, page.ok_value.version)
+            after = max(after, found.version)
 
     def take_row(self, job_id: str, row: bytes) -> None:
         """Take a stored job, or a cancellation if the row is empty."""
@@ -355,6 +380,10 @@
 
     def _relay(self, message: RelayWrite) -> str:
         """Write rows for an entry and return the kind of failure, if any."""
+        if self.leadership.write_seconds > _SLOW_WRITE_SECONDS:
+            # The store is slow for all, and a second write of the same row would only
+            # fill its queue.
+            return FailureKind.NOT_DONE.name
         transaction = Transaction(
             message.partition,
             tuple(
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -94,6 +94,13 @@
         Source of time.
     retry_interval : float
         Pause between tries of a write that was not done, in seconds.
+
+    Attributes
+    ----------
+    epoch : int
+        Fencing token of the term; 0 while another process leads.
+    write_seconds : float
+        Duration of the last write that was done.
     """
 
     def __init__(
@@ -120,6 +127,7 @@
         self._failing_since = 0.0
         self._ask_at = 0.0
         self.epoch = 0
+        self.write_seconds = 0.0
         self.leader: LeaseRecord | None = None
 
     @property
@@ -278,6 +286,7 @@
             if not isinstance(result, Err):
                 self._version = result.ok_value
                 self._valid_until = began + LEASE_SECONDS
+                self.write_seconds = self._clock.now() - began
                 if self._failing_since:
                     self._failing_since = 0.0
                     log_change(logger, "table service accepts writes again")
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/tables.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/tables.py
@@ -8,6 +8,9 @@
 import attrs
 from result import Ok, Result
 
+#: Longest wait for the reply to a write, in seconds; a slow store needs half of it.
+WRITE_SECONDS = 1.0
+
 
 @attrs.frozen
 class Row:
@@ -98,8 +101,18 @@
     """Client of a table service; safe for use by several threads."""
 
     @abstractmethod
-    def transact(self, transaction: Transaction) -> Result[int, Failure]:
-        """Apply a transaction and return its version."""
+    def transact(
+        self, transaction: Transaction, timeout: float = WRITE_SECONDS
+    ) -> Result[int, Failure]:
+        """Apply a transaction and return its version.
+
+        Parameters
+        ----------
+        transaction : Transaction
+            What to write under which conditions.
+        timeout : float
+            Longest wait for the reply, in seconds.
+        """
 
     @abstractmethod
     def read(
--- a/packages/pollenkeel-jobs/tests/core/test_gateway.py
+++ b/packages/pollenkeel-jobs/tests/core/test_gateway.py
@@ -9,7 +9,7 @@
 from pollenkeel_jobs.core.leadership import Leadership
 from pollenkeel_jobs.core.messages import JobQueryReply, RelayWrite, RelayWriteReply
 from pollenkeel_jobs.core.model import JobStatus
-from pollenkeel_jobs.core.names import INTAKE_PARTITION, JOBS
+from pollenkeel_jobs.core.names import JOBS, get_intake_partition
 from pollenkeel_jobs.core.tables import Condition, RowWrite, Transaction
 from pollenkeel_kernel import Code, Refusal, SystemClock
 
@@ -28,7 +28,7 @@
 
 
 def is_stored(tables):
-    return (INTAKE_PARTITION, JOBS, "j1") in tables.rows_by_key
+    return (get_intake_partition("j1"), JOBS, "j1") in tables.rows_by_key
 
 
 @pytest.mark.parametrize("faults", [[], ["lost"], ["refused"], ["dropped"]])
--- a/packages/pollenkeel-jobs/tests/jobs_doubles.py
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -31,7 +31,7 @@
         self.held = []
         self.reads_fail = False
 
-    def transact(self, transaction):
+    def transact(self, transaction, timeout=1.0):
         fault = self.faults.pop(0) if self.faults else ""
         if fault == "refused":
             return Err(Failure(FailureKind.NOT_DONE))
--- a/packages/pollenkeel-jobs/tests/test_model.py
+++ b/packages/pollenkeel-jobs/tests/test_model.py
@@ -20,10 +20,10 @@
 from pollenkeel_jobs.core.messages import EndedTask, RunningTask, VmReport
 from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
 from pollenkeel_jobs.core.names import (
-    INTAKE_PARTITION,
     JOBS,
     LEADER_PARTITION,
     PROGRESS,
+    get_intake_partition,
 )
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.records import encode_job
@@ -161,7 +161,9 @@
         ]
         for spec in self.specs:
             write = RowWrite(JOBS, spec.job_id, encode_job(spec))
-            self.tables.apply(Transaction(INTAKE_PARTITION, (), (write,)))
+            self.tables.apply(
+                Transaction(get_intake_partition(write.key), (), (write,))
+            )
 
     def chance(self, share):
         return self.trouble and self.rng.random() < share
