Replace silent connections to the leader; end after SIGTERM; add the fault soak

Ruled out: a store that is still down (it accepted writes again), a leader that was lost (it renewed its lease). The soak (tests/soak) plays entries, agents, runners and store as processes behind relays, with signals, network and store faults and clocks that differ, and checks the runners' records and what clients saw.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -32,7 +32,7 @@
 from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.logs import log_change
 from pollenkeel_kernel.core.messages import ErrorReply, Message
-from pollenkeel_kernel.core.transport import PeerClient
+from pollenkeel_kernel.core.transport import PeerClient, is_answered
 
 logger = logbook.Logger("agent")
 
@@ -40,6 +40,8 @@
 _HOLD_SECONDS = 0.4
 #: Longest wait for the leader's reply to a report, in seconds.
 _REPORT_SECONDS = 0.8
+#: Seconds without a reply of the leader after which the connection is replaced.
+_SILENT_SECONDS = 1.2
 #: Longest wait for the worker's replies to one set of orders, in seconds.
 _ORDER_SECONDS = 1.2
 #: Pause after a failed look at the worker, in seconds.
@@ -323,6 +325,13 @@
             return False
         result = leader.call(report, self._clock.now() + _REPORT_SECONDS)
         if isinstance(result, Err):
+            if not is_answered(result) and leader.redial_if_silent(_SILENT_SECONDS):
+                log_change(
+                    logger,
+                    "connection to the leader replaced",
+                    address=leader.address,
+                    cause=str(result.err_value),
+                )
             return False
         reply = result.ok_value
         if state is None or not isinstance(reply, VmReportReply):
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/contact.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/contact.py
@@ -14,10 +14,13 @@
 from pollenkeel_kernel.core.logs import log_change
 from pollenkeel_kernel.core.messages import Message
 from pollenkeel_kernel.core.refusal import Refusal
-from pollenkeel_kernel.core.transport import PeerClient
+from pollenkeel_kernel.core.transport import PeerClient, is_answered
 
 logger = logbook.Logger("contact")
 
+#: Seconds without a reply of the leader after which the connection is replaced.
+_SILENT_SECONDS = 1.2
+
 
 class LeaderContact:
     """Messages of an entry to whichever entry leads."""
@@ -61,12 +64,16 @@
             return Err(Refusal(Code.NOT_OWNER, "no leader is known"))
         result = peer.call(message, self._clock.now() + seconds)
         if isinstance(result, Err):
+            redialled = not is_answered(result) and peer.redial_if_silent(
+                _SILENT_SECONDS
+            )
             log_change(
                 logger,
                 "no reply of the leader",
                 kind=type(message).__name__,
                 address=peer.address,
                 cause=str(result.err_value),
+                redialled=redialled,
             )
         return result
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -43,7 +43,9 @@
     zone : str
         Data centre of its VM.
     peer_address : str
-        ``tcp://IP:PORT`` for messages of other processes.
+        ``tcp://IP:PORT`` at which it takes messages of other processes.
+    advertised_address : str
+        ``tcp://IP:PORT`` at which others reach that address.
     hand_over_seconds : float
         Longest time for which a leader that is to stop waits for a successor.
     """
@@ -51,6 +53,7 @@
     id: str
     zone: str
     peer_address: str
+    advertised_address: str
     hand_over_seconds: float = 5.0
 
 
@@ -85,7 +88,9 @@
         self._settings = settings
         self._tables = tables
         self._clock = clock
-        self._leadership = Leadership(settings.id, settings.peer_address, tables, clock)
+        self._leadership = Leadership(
+            settings.id, settings.advertised_address, tables, clock
+        )
         self._contact = LeaderContact(settings.id, self._leadership, clock)
         self.gateway = Gateway(settings.id, tables, self._contact, clock)
         self._server = ReplyServer(
@@ -146,7 +151,7 @@
     def _lead(self, stop: threading.Event) -> None:
         term = Term(
             self._settings.id,
-            self._settings.peer_address,
+            self._settings.advertised_address,
             self._leadership,
             self._tables,
             self._clock,
@@ -171,7 +176,7 @@
             self._settings.id,
             self._clock.now(),
             leader.epoch,
-            self._settings.peer_address,
+            self._settings.advertised_address,
         )
         reply = self._contact.ask(query, _ASK_SECONDS)
         return not isinstance(reply, LeaderQueryReply) or reply.leads
--- a/packages/pollenkeel-jobs/tests/core/test_entry.py
+++ b/packages/pollenkeel-jobs/tests/core/test_entry.py
@@ -23,7 +23,8 @@
 
 def run_entry(tables, name, port, stop):
     feed = OperationsFeed("op", tables, NoOrders(), CLOCK)
-    settings = NodeSettings(name, "z1", f"tcp://127.0.0.1:{port}", 2.0)
+    address = f"tcp://127.0.0.1:{port}"
+    settings = NodeSettings(name, "z1", address, address, 2.0)
     entry = Entry(settings, tables, feed, CLOCK, NoAdvice())
     thread = threading.Thread(target=entry.run, args=(stop,), daemon=True)
     thread.start()
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/transport.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/transport.py
@@ -191,6 +191,7 @@
         self._lock = threading.Lock()
         self._closed = False
         self._calls = 0
+        self._dialled_at = clock.now()
         self._socket = pynng.Req0(
             resend_time=_NO_RESEND,
             recv_max_size=MAX_MESSAGE_BYTES,
@@ -242,6 +243,7 @@
         with self._lock:
             if self._closed:
                 return
+            self._dialled_at = self._clock.now()
             pipes = self._socket.pipes
             if not pipes:
                 # Dials afresh, as the pending dial may wait long for its next try.
@@ -251,6 +253,27 @@
                     old.close()
         _close_pipes(pipes)
 
+    def redial_if_silent(self, seconds: float) -> bool:
+        """Replace the connection if calls have had no reply for a time.
+
+        A connection can be silent for good while new ones work, which only the missing
+        replies show. To be called after a call without a reply.
+
+        Parameters
+        ----------
+        seconds : float
+            Time without a reply, counted from the last dialling at the earliest.
+
+        Returns
+        -------
+        bool
+            Whether the connection was replaced.
+        """
+        if self._clock.now() - max(self.heard_at, self._dialled_at) < seconds:
+            return False
+        self.redial()
+        return True
+
     def close(self) -> None:
         """Close the connection; calls that wait on it fail at once."""
         with self._lock:
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/daemon.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import sys
 import threading
@@ -80,6 +81,9 @@
     role.run(stop)
     log_change(logger, "process stopped")
     lines.flush()
+    # The role has finished its work. Threads of servers and of calls to peers that do
+    # not answer would keep the process for as long as they wait.
+    os._exit(0)
 
 
 def _follow_settings(
--- a/standins/pollenkeel_standins/job_site.py
+++ b/standins/pollenkeel_standins/job_site.py
@@ -17,6 +17,7 @@
 _HOST = "desk.example"
 _PREFIX = "/jobs/"
 _CLIENT_SECONDS = 3.0
+_RECORD_SECONDS = 0.3
 
 
 def _find_port() -> int:
@@ -42,6 +43,7 @@
         self._settings_by_name: dict[str, dict[str, Any]] = {}
         self.processes_by_name: dict[str, ManagedProcess] = {}
         self._roles_by_name: dict[str, str] = {}
+        self._client_addresses_by_entry: dict[str, str] = {}
         self._entry_count = entries
         self._vm_count = vms
 
@@ -57,11 +59,16 @@
             self._start_process(f"entry-{number}", "job-entry", store, settings)
         for number in range(self._vm_count):
             register = self._make_address()
-            options = ["--id", f"i-{number}", "--agent", f"http://{register}"]
-            self._start_standin(f"runner-{number}", "runner", *options, "--zone", "z1")
+            to_agent = self.route(f"runner-{number}", f"agent-{number}", register)
+            options = ["--id", f"i-{number}", "--agent", f"http://{to_agent}"]
+            options += ["--zone", "z1", *self.runner_options(number)]
+            self._start_standin(f"runner-{number}", "runner", *options)
             runner = self.processes_by_name[f"runner-{number}"].url
+            to_runner = runner.removeprefix("http://")
             settings = {
-                "worker_address": runner.removeprefix("http://"),
+                "worker_address": self.route(
+                    f"agent-{number}", f"runner-{number}", to_runner
+                ),
                 "register_address": register,
             }
             self._start_process(f"agent-{number}", "job-agent", store, settings)
@@ -71,6 +78,24 @@
         for process in self.processes_by_name.values():
             process.kill()
 
+    def route(self, source: str, target: str, address: str) -> str:
+        """Return the address at which a process reaches another.
+
+        Parameters
+        ----------
+        source : str
+            Name of the process that calls; empty for all processes.
+        target : str
+            Name of the process that is called.
+        address : str
+            Where it listens.
+        """
+        return address
+
+    def runner_options(self, number: int) -> list[str]:
+        """Return further options of a runner's command line."""
+        return []
+
     def restart(self, name: str) -> None:
         """Start a process again that has ended."""
         self._launch(name)
@@ -101,7 +126,12 @@
 
     def call(self, method: str, job_id: str, entry: int, body: Any = None) -> Any:
         """Send a client's request; return the reply, or None if there is none."""
-        address = self._settings_by_name[f"entry-{entry}"]["clients_address"]
+        name = f"entry-{entry}"
+        address = self._client_addresses_by_entry.get(name)
+        if address is None:
+            address = self._settings_by_name[name]["clients_address"]
+            address = self.route("clients", name, address)
+            self._client_addresses_by_entry[name] = address
         try:
             return self._pool.request(
                 method,
@@ -159,13 +189,24 @@
 
     def read_runs(self) -> list[dict[str, Any]]:
         """Return what truly ran on all runners; a run that goes on ends now."""
+        return [run for n in range(self._vm_count) for run in self._read_record(n)]
+
+    def read_known_runs(self) -> list[dict[str, Any]]:
+        """Return what truly ran on the runners that answer."""
         runs = []
         for number in range(self._vm_count):
-            url = f"{self.processes_by_name[f'runner-{number}'].url}/record"
-            record = self._pool.request("GET", url, timeout=5.0).json()
-            runs += [{**run, "runner": number} for run in record["runs"]]
-        now = time.time()
-        return [{"end": now, "how": "running", **run} for run in runs]
+            try:
+                runs += self._read_record(number, _RECORD_SECONDS)
+            except urllib3.exceptions.HTTPError:
+                continue
+        return runs
+
+    def _read_record(self, number: int, timeout: float = 5.0) -> list[dict[str, Any]]:
+        url = f"{self.processes_by_name[f'runner-{number}'].url}/record"
+        # What goes on is known to have run until now, and not for longer.
+        going_on = {"end": time.time(), "how": "running", "noted": False}
+        record = self._pool.request("GET", url, timeout=timeout).json()
+        return [{**going_on, **run, "runner": number} for run in record["runs"]]
 
     def _make_address(self) -> str:
         return f"127.0.0.1:{_find_port()}"
@@ -179,11 +220,13 @@
     def _start_process(
         self, name: str, role: str, store: str, settings: dict[str, Any]
     ) -> None:
+        peer_address = self._make_address()
         self._settings_by_name[name] = {
             "id": name,
             "zone": "z1",
-            "peer_address": self._make_address(),
-            "store_address": store,
+            "peer_address": peer_address,
+            "advertised_address": self.route("", name, peer_address),
+            "store_address": self.route(name, "store", store),
             **settings,
         }
         path = self._directory / f"{name}.yaml"
--- a/standins/pollenkeel_standins/main.py
+++ b/standins/pollenkeel_standins/main.py
@@ -63,9 +63,11 @@
 @click.option("--id", "runner_id", required=True)
 @click.option("--agent", required=True, help="URL at which it registers")
 @click.option("--zone", required=True)
-def runner(port: int, threads: int, runner_id: str, agent: str, zone: str) -> None:
+@click.option("--clock-offset", default=0.0, help="seconds")
+@click.option("--clock-rate", default=1.0, help="seconds a second")
+def runner(port: int, threads: int, runner_id: str, **options: Any) -> None:
     """Runner of the users' platform."""
-    _run(Runner(RunnerOptions(runner_id, agent, zone)), runner_id, port, threads)
+    _run(Runner(RunnerOptions(runner_id, **options)), runner_id, port, threads)
 
 
 @main.command()
--- a/standins/pollenkeel_standins/metadata_store.py
+++ b/standins/pollenkeel_standins/metadata_store.py
@@ -11,12 +11,32 @@
 
 from pollenkeel_standins.base import Standin, parse_json
 from pollenkeel_standins.faults import Faults
-from pollenkeel_standins.serving import Answer, Request, json_answer
+from pollenkeel_standins.serving import Answer, Cut, Request, json_answer
 
 _PAGE = 500
 _Key = tuple[str, str, str]
 
 
+@attrs.frozen
+class StoreFaults(Faults):
+    """Switches of the metadata store.
+
+    Attributes
+    ----------
+    late_writes : int
+        Number of coming transactions without an answer that are carried out later, if
+        their conditions still hold.
+    late_by : float
+        How much later, in seconds.
+    lost_feeds : int
+        Number of coming calls to a feed that are told that the history is gone.
+    """
+
+    late_writes: int = 0
+    late_by: float = 2.0
+    lost_feeds: int = 0
+
+
 @attrs.define
 class _StoredRow:
     value: str | None
@@ -27,7 +47,7 @@
     """Rows with versions; ``POST /operator`` writes as the operators do."""
 
     def __init__(self) -> None:
-        super().__init__(Faults())
+        super().__init__(StoreFaults())
         self._condition = threading.Condition()
         self._rows_by_key: dict[_Key, _StoredRow] = {}
         self._version = 0
@@ -48,9 +68,16 @@
         if call == "operator":
             return self._write_operator(parse_json(request.body) or {})
         if call == "rows-tx":
-            return self._transact(parse_json(request.body) or {})
+            body = parse_json(request.body) or {}
+            if self.switches.take("late_writes"):
+                late_by = self.switches.current.late_by
+                threading.Timer(late_by, self._transact, (body,)).start()
+                return Answer(503, cut=Cut.BREAK)
+            return self._transact(body)
         if call == "rows-get":
             return self._read(request.query)
+        if call == "rows-feed" and self.switches.take("lost_feeds"):
+            return json_answer({}, 410)
         if call == "rows-feed":
             return self._watch(request.query)
         return json_answer({}, 404)
--- a/standins/pollenkeel_standins/processes.py
+++ b/standins/pollenkeel_standins/processes.py
@@ -131,6 +131,11 @@
         """Let a frozen process go on."""
         self._popen.send_signal(signal.SIGCONT)
 
+    def reload(self) -> None:
+        """Send SIGHUP."""
+        if self.alive:
+            self._popen.send_signal(signal.SIGHUP)
+
     def kill(self) -> None:
         """End the process with SIGKILL and reap it."""
         if self.alive:
--- a/standins/pollenkeel_standins/relay.py
+++ b/standins/pollenkeel_standins/relay.py
@@ -18,12 +18,19 @@
     """How the relay treats connections.
 
     ``CUT`` closes every connection and accepts none that lasts; ``SILENT`` keeps
-    connections open and carries no data.
+    connections open and carries no data; ``ONE_WAY`` carries what is sent to the target
+    and nothing of what comes back.
     """
 
     PASS = "pass"
     CUT = "cut"
     SILENT = "silent"
+    ONE_WAY = "one way"
+
+
+#: Modes in which data is not carried in a direction.
+_TO_TARGET = frozenset({Mode.SILENT})
+_TO_CLIENT = frozenset({Mode.SILENT, Mode.ONE_WAY})
 
 
 class _Connection:
@@ -188,8 +195,12 @@
         if connection.closed:
             return
         pumps = [
-            asyncio.create_task(self._pump(connection, reader, target_writer)),
-            asyncio.create_task(self._pump(connection, target_reader, writer)),
+            asyncio.create_task(
+                self._pump(connection, reader, target_writer, _TO_TARGET)
+            ),
+            asyncio.create_task(
+                self._pump(connection, target_reader, writer, _TO_CLIENT)
+            ),
         ]
         try:
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
@@ -202,9 +213,10 @@
         connection: _Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        dropped_in: frozenset[Mode],
     ) -> None:
         queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue()
-        sender = asyncio.create_task(self._send(connection, queue, writer))
+        sender = asyncio.create_task(self._send(connection, queue, writer, dropped_in))
         due = 0.0
         try:
             while data := await _read(reader):
@@ -226,15 +238,17 @@
         connection: _Connection,
         queue: asyncio.Queue[tuple[float, bytes]],
         writer: asyncio.StreamWriter,
+        dropped_in: frozenset[Mode],
     ) -> None:
         with contextlib.suppress(OSError):
             while True:
                 due, data = await queue.get()
                 await asyncio.sleep(max(0.0, due - self._loop.time()))
-                if connection.muted or self._mode is Mode.SILENT:
+                if connection.muted or self._mode in dropped_in:
                     # Lost data would leave a gap in the stream, so the connection
                     # stays silent even after the mode is switched back.
-                    connection.muted = True
+                    if self._mode is not Mode.ONE_WAY:
+                        connection.muted = True
                     await asyncio.Event().wait()
                 if not data:
                     return
--- a/standins/pollenkeel_standins/runner.py
+++ b/standins/pollenkeel_standins/runner.py
@@ -10,7 +10,7 @@
 import attrs
 import urllib3
 
-from pollenkeel_kernel.core.clock import SystemClock
+from pollenkeel_kernel.core.clock import Clock, SystemClock
 from pollenkeel_standins.base import Standin, parse_json
 from pollenkeel_standins.faults import Faults
 from pollenkeel_standins.runner_model import RunnerModel
@@ -19,12 +19,43 @@
 _LOOK_SECONDS = 0.02
 
 
+class SkewedClock(Clock):
+    """Clock that starts elsewhere and runs at another rate than the system's.
+
+    Parameters
+    ----------
+    offset : float
+        Seconds to add at the start.
+    rate : float
+        Seconds that it advances in one second.
+    """
+
+    def __init__(self, offset: float, rate: float) -> None:
+        self._true = SystemClock()
+        self._began_at = self._true.now()
+        self._offset = offset
+        self._rate = rate
+
+    def now(self) -> float:
+        """Return the skewed point in time in seconds."""
+        return self.skew(self._true.now())
+
+    def skew(self, true: float) -> float:
+        """Return what this clock shows at a point in time."""
+        return true + self._offset + (self._rate - 1.0) * (true - self._began_at)
+
+    def correct(self, shown: float) -> float:
+        """Return the point in time at which this clock shows a value."""
+        return self._began_at + (shown - self._offset - self._began_at) / self._rate
+
+
 @attrs.frozen
 class RunnerOptions:
     """Settings of a runner.
 
-    ``agent`` is the URL at which it registers; ``heartbeat`` is in seconds; ``cpu`` in
-    thousandths of a core, ``memory`` in megabytes.
+    ``agent`` is the URL at which it registers; ``heartbeat`` and ``clock_offset`` are
+    in seconds; ``clock_rate`` is in seconds a second; ``cpu`` in thousandths of a core,
+    ``memory`` in megabytes.
     """
 
     id: str
@@ -34,6 +65,8 @@
     cpu: int = 4000
     memory: int = 8000
     heartbeat: float = 0.3
+    clock_offset: float = 0.0
+    clock_rate: float = 1.0
 
 
 class Runner(Standin):
@@ -42,7 +75,8 @@
     def __init__(self, options: RunnerOptions) -> None:
         super().__init__(Faults())
         self._options = options
-        self._model = RunnerModel(SystemClock())
+        self._clock = SkewedClock(options.clock_offset, options.clock_rate)
+        self._model = RunnerModel(self._clock)
         self._born = time.time_ns() // 1_000_000
         self._stop = threading.Event()
 
@@ -65,7 +99,13 @@
                 {"task": run.task, "run": run.run, "start": run.started_at}
                 for run in self._model.runs_by_task.values()
             ]
-            return {"runs": [*self._model.record, *running]}
+            runs = [*self._model.record, *running]
+        return {"runs": [self._correct(run) for run in runs]}
+
+    def _correct(self, run: dict[str, Any]) -> dict[str, Any]:
+        """Return an entry of the record with its times on the system's clock."""
+        times = {name: run[name] for name in ("start", "end") if name in run}
+        return {**run, **{n: self._clock.correct(at) for n, at in times.items()}}
 
     def serve(self, request: Request) -> Answer:
         """Carry out an order of the agent."""
--- a/standins/pollenkeel_standins/runner_model.py
+++ b/standins/pollenkeel_standins/runner_model.py
@@ -34,7 +34,8 @@
     Attributes
     ----------
     record : list of dict
-        What truly ran: task, run, start, end and how it ended.
+        What truly ran: task, run, start, end, how it ended, and whether the end was
+        acknowledged before the lease ended.
     """
 
     clock: Clock
@@ -46,6 +47,7 @@
     next_number: int = 1
     highest_run_by_task: dict[str, int] = attrs.field(factory=dict)
     record: list[dict[str, Any]] = attrs.field(factory=list)
+    _unnoted: dict[int, dict[str, Any]] = attrs.field(factory=dict)
 
     def now_ms(self) -> int:
         """Return the runner's clock in milliseconds."""
@@ -60,6 +62,8 @@
                     self._end(run, "lapsed", self.lease_until)
                 elif run.ends_at <= now:
                     self._end(run, run.how, run.ends_at)
+            if self.lease_until <= now:
+                self._unnoted.clear()
 
     def start(self, body: dict[str, Any]) -> str:
         """Start a run; return an empty string, or why it was refused."""
@@ -112,6 +116,8 @@
                 return refusal
             through = body.get("AckedThrough", 0)
             self.ended = [row for row in self.ended if row[0] > through]
+            for number in [n for n in self._unnoted if n <= through]:
+                self._unnoted.pop(number)["noted"] = True
             if body.get("DeadlineMs"):
                 self._hold_until(body["DeadlineMs"])
             return ""
@@ -155,13 +161,14 @@
         self.highest_run_by_task[run.task] = max(known, run.run)
         saved = self._checkpoint(run, at) if how != "done" else ""
         self.ended.append([self.next_number, run.task, run.run, how, saved])
+        entry = {
+            "task": run.task,
+            "run": run.run,
+            "start": run.started_at,
+            "end": at,
+            "how": how,
+            "noted": False,
+        }
+        self._unnoted[self.next_number] = entry
         self.next_number += 1
-        self.record.append(
-            {
-                "task": run.task,
-                "run": run.run,
-                "start": run.started_at,
-                "end": at,
-                "how": how,
-            }
-        )
+        self.record.append(entry)
--- a/standins/tests/test_relay.py
+++ b/standins/tests/test_relay.py
@@ -82,3 +82,17 @@
         other.sendall(b"from entry-2")
         assert other_server.recv(20) == b"from entry-2"
         assert client.recv(20) == b""
+
+
+def test_one_way_carries_only_what_is_sent_to_the_target(relay, target):
+    client, server = connect(relay, target)
+    relay.set_mode(Mode.ONE_WAY)
+    with client, server:
+        client.sendall(b"there")
+        assert server.recv(10) == b"there"
+        server.sendall(b"back")
+        client.settimeout(0.3)
+        with pytest.raises(TimeoutError):
+            client.recv(10)
+        client.sendall(b"again")
+        assert server.recv(10) == b"again"
--- a/tests/proofs/test_platform_jobs.py
+++ b/tests/proofs/test_platform_jobs.py
@@ -15,6 +15,8 @@
     {"Count": 3, "Cpu": 800, "MemMb": 200, "EstimateMs": 500, "After": [0]},
 ]
 TASKS = 7
+#: Seconds from SIGTERM to SIGKILL on the platform.
+GRACE_SECONDS = 6.0
 JOBS = 6
 
 
@@ -133,3 +135,12 @@
         site.submit("job", [{"Count": 1, "Cpu": 100, "MemMb": 10}], "fail 0.1")
         site.wait_state("job", "failed")
         assert sorted(run["run"] for run in site.read_runs()) == [1, 2, 3]
+
+
+@pytest.mark.parametrize("name", ["agent-0", "entry-0", "entry-1"])
+def test_stopped_process_ends_within_the_grace_time(name, tmp_path):
+    """All processes stayed until SIGKILL, because threads waited for ever."""
+    with JobSite(tmp_path) as site:
+        site.submit("job", STEPS, "run 0.2")
+        site.wait_state("job", "done")
+        assert site.processes_by_name[name].stop(GRACE_SECONDS) == 0
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,5 @@
+"""Starts the command line of the soak."""
+
+from soak.run import main
+
+main()
--- /dev/null
+++ b/tests/soak/clients.py
@@ -0,0 +1,145 @@
+"""Clients of a soak: hand jobs in, repeat, ask for states and cancel."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import threading
+import time
+from typing import Any
+
+import attrs
+
+from soak.site import SoakSite
+
+#: Replies after which a client hands the same job in again.
+_REPEATED = (502, 504)
+_TRIES = 6
+#: Seconds after a submission at which some clients cancel.
+_CANCEL_AFTER = 1.0
+
+
+@attrs.define
+class SoakJob:
+    """What the clients know of one job.
+
+    Attributes
+    ----------
+    steps : list of dict
+        Steps as submitted.
+    accepted_at, refused_at, cancelled_at : float
+        Times of the replies in seconds since the Unix epoch; 0 if there was none.
+    states : list of str
+        States shown, in the order of the replies.
+    unknown_at : float
+        Time of the last reply that there is no such job; 0 if there was none.
+    """
+
+    job_id: str
+    steps: list[dict[str, Any]]
+    cancels: bool
+    accepted_at: float = 0.0
+    refused_at: float = 0.0
+    cancelled_at: float = 0.0
+    unknown_at: float = 0.0
+    states: list[str] = attrs.field(factory=list)
+
+
+class SoakClients:
+    """Threads that hand jobs in at random times until ``stop``.
+
+    Parameters
+    ----------
+    site : SoakSite
+        Where to.
+    seed : int
+        Seed of the jobs.
+    """
+
+    def __init__(self, site: SoakSite, seed: int, entries: int) -> None:
+        self._site = site
+        self._seed = seed
+        self._entries = entries
+        self._stop = threading.Event()
+        self._numbers = itertools.count()
+        self.jobs_by_id: dict[str, SoakJob] = {}
+        self._threads = [
+            threading.Thread(target=self._run, args=(n,), daemon=True) for n in range(4)
+        ]
+
+    def __enter__(self) -> SoakClients:
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """Hand no more jobs in."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def look(self, job: SoakJob, rng: random.Random) -> str:
+        """Ask for a job's state; return it, or an empty string if nobody tells."""
+        reply = self._site.call("GET", job.job_id, rng.randrange(self._entries))
+        if reply is not None and reply.status == 410:
+            job.unknown_at = time.time()
+        if reply is None or reply.status != 200:
+            return ""
+        state = str(reply.json()["State"])
+        job.states.append(state)
+        return state
+
+    def _run(self, thread: int) -> None:
+        rng = random.Random(self._seed * 100 + thread)
+        while not self._stop.wait(rng.expovariate(1.5)):
+            job = self._make_job(rng)
+            self._submit(job, rng)
+            if job.accepted_at and job.cancels:
+                self._stop.wait(_CANCEL_AFTER)
+                self._cancel(job, rng)
+            known = [j for j in self.jobs_by_id.values() if j.accepted_at]
+            for asked in rng.sample(known, min(3, len(known))):
+                self.look(asked, rng)
+
+    def _make_job(self, rng: random.Random) -> SoakJob:
+        steps: list[dict[str, Any]] = []
+        for number in range(rng.choice((1, 1, 2, 3))):
+            step: dict[str, Any] = {
+                "Count": rng.randint(1, 4),
+                "Cpu": rng.choice((400, 900, 1500)),
+                "MemMb": 100,
+                "EstimateMs": 500,
+                "Checkpointing": rng.random() < 0.5,
+            }
+            if number:
+                step["After"] = [number - 1]
+            steps.append(step)
+        job_id = f"{next(self._numbers):016x}"
+        job = SoakJob(job_id, steps, rng.random() < 0.15)
+        self.jobs_by_id[job_id] = job
+        return job
+
+    def _submit(self, job: SoakJob, rng: random.Random) -> None:
+        seconds = rng.choice((0.1, 0.3, 0.8, 1.5))
+        verb = "fail" if rng.random() < 0.05 else "run"
+        body = {"Spec": f"{verb} {seconds}", "Steps": job.steps}
+        for _ in range(_TRIES):
+            entry = rng.randrange(self._entries)
+            reply = self._site.call("POST", job.job_id, entry, body)
+            if reply is not None and reply.status == 200:
+                job.accepted_at = time.time()
+                return
+            if reply is not None and reply.status not in _REPEATED:
+                job.refused_at = time.time()
+                return
+
+    def _cancel(self, job: SoakJob, rng: random.Random) -> None:
+        for _ in range(_TRIES):
+            entry = rng.randrange(self._entries)
+            reply = self._site.call("DELETE", job.job_id, entry)
+            if reply is not None and reply.status == 200:
+                job.cancelled_at = time.time()
+                return
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,228 @@
+"""Faults that the soak injects, and the random schedule of a run."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import threading
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+
+import attrs
+
+from pollenkeel_standins.relay import Mode
+from soak.site import SoakSite
+
+#: Longest time from SIGTERM to SIGKILL, in seconds, as on the platform.
+_GRACE_SECONDS = 6.0
+#: Pause between a kill and the restart, in seconds.
+_RESTART_SECONDS = 0.3
+
+
+class Fault(ABC):
+    """One kind of fault; ``apply`` returns when the fault has passed."""
+
+    @abstractmethod
+    def apply(self, site: SoakSite, target: str, seconds: float) -> None:
+        """Let a fault happen to a process or link for a time."""
+
+    @abstractmethod
+    def choose(self, site: SoakSite, rng: random.Random) -> str:
+        """Return a target."""
+
+
+@attrs.define
+class ProcessFault(Fault):
+    """Fault of one entry or agent; only one at a time happens to each process."""
+
+    kinds: tuple[str, ...] = ("entry", "agent")
+    _pause: threading.Event = attrs.field(factory=threading.Event)
+
+    def choose(self, site: SoakSite, rng: random.Random) -> str:
+        """Return the name of a process."""
+        names = [n for n in site.processes_by_name if n.startswith(self.kinds)]
+        return rng.choice(names)
+
+    def apply(self, site: SoakSite, target: str, seconds: float) -> None:
+        """Let the fault happen unless another one happens to the process."""
+        lock = site.locks_by_process[target]
+        if lock.acquire(blocking=False):
+            try:
+                self.strike(site, target, seconds)
+            finally:
+                lock.release()
+
+    @abstractmethod
+    def strike(self, site: SoakSite, target: str, seconds: float) -> None:
+        """Let the fault happen to a process."""
+
+
+class Kill(ProcessFault):
+    """SIGKILL and a restart."""
+
+    def strike(self, site: SoakSite, target: str, seconds: float) -> None:
+        """Kill and restart the process."""
+        site.processes_by_name[target].kill()
+        self._pause.wait(_RESTART_SECONDS)
+        site.restart(target)
+
+
+class Terminate(ProcessFault):
+    """SIGTERM, SIGKILL after the grace time, and a restart."""
+
+    def strike(self, site: SoakSite, target: str, seconds: float) -> None:
+        """Stop and restart the process."""
+        process = site.processes_by_name[target]
+        process.terminate()
+        try:
+            process.wait(_GRACE_SECONDS)
+        except TimeoutError:
+            site.note(f"{target} did not stop within the grace time")
+        site.restart(target)
+
+
+class Freeze(ProcessFault):
+    """SIGSTOP, and SIGCONT later."""
+
+    def strike(self, site: SoakSite, target: str, seconds: float) -> None:
+        """Pause the process."""
+        process = site.processes_by_name[target]
+        process.freeze()
+        self._pause.wait(seconds)
+        process.thaw()
+
+
+class Reload(ProcessFault):
+    """SIGHUP, three times."""
+
+    def strike(self, site: SoakSite, target: str, seconds: float) -> None:
+        """Let the process read its settings again."""
+        for _ in range(3):
+            site.processes_by_name[target].reload()
+            self._pause.wait(seconds / 10)
+
+
+class KillAll(ProcessFault):
+    """SIGKILL to all entries and agents at once."""
+
+    def strike(self, site: SoakSite, target: str, seconds: float) -> None:
+        """Kill all processes and restart them."""
+        held = [target]
+        for name, lock in site.locks_by_process.items():
+            if name.startswith(self.kinds) and name != target:
+                lock.acquire()
+                held.append(name)
+        try:
+            for name in held:
+                site.processes_by_name[name].kill()
+            self._pause.wait(seconds / 2)
+            site.restart_all(held)
+        finally:
+            for name in held[1:]:
+                site.locks_by_process[name].release()
+
+
+@attrs.define
+class LinkFault(Fault):
+    """Fault of one link."""
+
+    mode: Mode = Mode.PASS
+    _pause: threading.Event = attrs.field(factory=threading.Event)
+
+    def choose(self, site: SoakSite, rng: random.Random) -> str:
+        """Return the two ends of a link."""
+        return " ".join(rng.choice(sorted(site.relays_by_link)))
+
+    def apply(self, site: SoakSite, target: str, seconds: float) -> None:
+        """Set the relay's mode for a time."""
+        source, _, name = target.partition(" ")
+        relay = site.relays_by_link[source, name]
+        relay.set_mode(self.mode)
+        self._pause.wait(seconds)
+        relay.set_mode(Mode.PASS)
+
+
+class Delay(LinkFault):
+    """Delayed data."""
+
+    def apply(self, site: SoakSite, target: str, seconds: float) -> None:
+        """Delay data in both directions for a time."""
+        source, _, name = target.partition(" ")
+        relay = site.relays_by_link[source, name]
+        relay.set_delay(0.15, 0.3)
+        self._pause.wait(seconds)
+        relay.set_delay(0.0)
+
+
+class SilenceEstablished(LinkFault):
+    """Established connections are silent for ever, new ones work."""
+
+    def apply(self, site: SoakSite, target: str, seconds: float) -> None:
+        """Silence the connections there are."""
+        source, _, name = target.partition(" ")
+        site.relays_by_link[source, name].silence_established()
+
+
+@attrs.define
+class StoreFault(Fault):
+    """Switches of the store, which are set back later."""
+
+    changes: dict[str, object] = attrs.field(factory=dict)
+    calm: dict[str, object] = attrs.field(factory=dict)
+    _pause: threading.Event = attrs.field(factory=threading.Event)
+
+    def choose(self, site: SoakSite, rng: random.Random) -> str:
+        """Return the name of the store."""
+        return "store"
+
+    def apply(self, site: SoakSite, target: str, seconds: float) -> None:
+        """Set the switches for a time."""
+        site.set_store_faults(**self.changes)
+        self._pause.wait(seconds)
+        site.set_store_faults(**self.calm)
+
+
+FAULTS_BY_NAME: dict[str, Fault] = {
+    "kill": Kill(),
+    "terminate": Terminate(),
+    "freeze": Freeze(("entry", "agent", "runner")),
+    "reload": Reload(),
+    "kill all": KillAll(),
+    "cut": LinkFault(Mode.CUT),
+    "silent": LinkFault(Mode.SILENT),
+    "one way": LinkFault(Mode.ONE_WAY),
+    "delay": Delay(),
+    "silent for ever": SilenceEstablished(),
+    "store refuses": StoreFault({"down": "refuse"}, {"down": "off"}),
+    "store hangs": StoreFault({"down": "hang"}, {"down": "off"}),
+    "store is slow": StoreFault({"slow": 0.4}, {"slow": 0.0}),
+    "store loses answers": StoreFault({"lose_answers": 4}, {"lose_answers": 0}),
+    "store writes late": StoreFault({"late_writes": 3}, {"late_writes": 0}),
+    "store forgets": StoreFault({"lost_feeds": 4}, {"lost_feeds": 0}),
+}
+
+
+@attrs.frozen
+class PlannedFault:
+    """One fault of a schedule; ``at`` and ``seconds`` are in seconds from the start."""
+
+    at: float
+    name: str
+    target: str
+    seconds: float
+
+
+def plan_faults(
+    site: SoakSite, rng: random.Random, seconds: float
+) -> Iterator[PlannedFault]:
+    """Yield random faults in series and overlapping, in the order of time."""
+    at = rng.uniform(0.5, 1.5)
+    while at < seconds:
+        name = rng.choice(sorted(FAULTS_BY_NAME))
+        fault = FAULTS_BY_NAME[name]
+        for offset in itertools.accumulate(
+            rng.uniform(0.0, 1.0) for _ in range(rng.choice((1, 1, 2, 3)))
+        ):
+            target = fault.choose(site, rng)
+            yield PlannedFault(at + offset, name, target, rng.uniform(0.3, 4.0))
+        at += rng.expovariate(1 / 1.2)
--- /dev/null
+++ b/tests/soak/site.py
@@ -0,0 +1,96 @@
+"""A site of real processes whose connections all pass through relays."""
+
+from __future__ import annotations
+
+import random
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from pollenkeel_standins.job_site import JobSite
+from pollenkeel_standins.relay import Mode, Relay
+
+CALM_STORE = {
+    "down": "off",
+    "slow": 0.0,
+    "lose_answers": 0,
+    "late_writes": 0,
+    "lost_feeds": 0,
+}
+#: Rates of the runners' clocks, in seconds a second; the platform allows 2% slow ones.
+_CLOCK_RATES = (0.98, 1.0, 1.0, 1.01)
+#: Largest difference of a runner's clock, in seconds.
+_CLOCK_OFFSET = 3600.0
+
+
+class SoakSite(JobSite):
+    """Entries, agents, runners and store with a relay on each link.
+
+    Parameters
+    ----------
+    directory : Path
+        Directory of settings and logs.
+    rng : Random
+        Source of the clocks' differences.
+
+    Attributes
+    ----------
+    relays_by_link : dict of (str, str) to Relay
+        Relay of each link, by the names of its ends; an empty name stands for all.
+    locks_by_process : dict of str to Lock
+        Held by the fault that happens to a process.
+    notes : list of str
+        Findings of faults, such as a process that does not stop.
+    """
+
+    def __init__(
+        self, directory: Path, rng: random.Random, entries: int, vms: int
+    ) -> None:
+        super().__init__(directory, entries, vms)
+        self._rng = rng
+        self.relays_by_link: dict[tuple[str, str], Relay] = {}
+        self.locks_by_process: dict[str, threading.Lock] = {}
+        self.notes: list[str] = []
+
+    def __enter__(self) -> SoakSite:
+        super().__enter__()
+        for name in self.processes_by_name:
+            self.locks_by_process[name] = threading.Lock()
+        return self
+
+    def __exit__(self, *reason: object) -> None:
+        super().__exit__(*reason)
+        for relay in self.relays_by_link.values():
+            relay.close()
+
+    def route(self, source: str, target: str, address: str) -> str:
+        """Return the address of a new relay in front of ``address``."""
+        relay = Relay(address)
+        self.relays_by_link[source, target] = relay
+        return relay.address
+
+    def note(self, finding: str) -> None:
+        """Add a finding."""
+        self.notes.append(finding)
+
+    def restart_all(self, names: list[str]) -> None:
+        """Start processes again, all at once."""
+        with ThreadPoolExecutor(len(names)) as pool:
+            list(pool.map(self.restart, names))
+
+    def heal(self) -> None:
+        """End all faults of links and of the store."""
+        for relay in self.relays_by_link.values():
+            relay.set_mode(Mode.PASS)
+            relay.set_delay(0.0)
+        self.set_store_faults(**CALM_STORE)
+
+    def find_dead(self) -> list[str]:
+        """Return the processes that have ended by themselves."""
+        return [n for n, process in self.processes_by_name.items() if not process.alive]
+
+    def runner_options(self, number: int) -> list[str]:
+        """Return the options of a clock that differs from the others'."""
+        offset = self._rng.uniform(-_CLOCK_OFFSET, _CLOCK_OFFSET)
+        rate = self._rng.choice(_CLOCK_RATES)
+        return ["--clock-offset", f"{offset}", "--clock-rate", f"{rate}"]
