Give up the tasks of a worker that a new leader's agents no longer reach

Its agent goes on reporting the VM without lists, so the new leader put the tasks on that VM, but had granted it no lease, and only VMs with a granted lease were ever given up. Change: a life that begins in a term lapses no later than all leases of earlier leaders do. Before: test_take_over_gives_up_a_worker_that_its_agent_no_longer_reaches fails.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -122,6 +122,8 @@
         vm.fenced = False
         vm.lease_until = 0.0
         vm.ended_through = vm.recorded_through = 0
+        # Until the first grant, what runs here may have a lease of an earlier leader.
+        vm.lapsed_at = max(vm.lapsed_at, self._began_at + _LAPSE_SECONDS)
         for task in self._orphans_by_life.pop(life, {}).values():
             vm.add(task)
         return lost
--- a/packages/pollenkeel-jobs/tests/core/test_scheduler.py
+++ b/packages/pollenkeel-jobs/tests/core/test_scheduler.py
@@ -138,6 +138,22 @@
     assert successor.running == ["j1.0.0.0", "j1.0.0.1"]
 
 
+def test_take_over_gives_up_a_worker_that_its_agent_no_longer_reaches(site):
+    """Tasks of a runner that had left before the change of leader ran nowhere."""
+    site.scheduler.add_job(make_job())
+    site.step()
+    successor = _take_over(site)
+    left = successor.vms.pop()
+    successor.vms = [VmDouble(successor.scheduler, site.clock, "vm-9")]
+    left.report_without_lists()
+    successor.step()
+    assert not successor.running
+    site.clock.advance(WORKER_LEASE + 1.0)
+    left.report_without_lists()
+    successor.step()
+    assert successor.running == ["j1.0.0.0", "j1.0.0.1"]
+
+
 def test_end_is_learnt_from_an_agent_that_restarts_later_than_others(site):
     """After a kill of all processes a task that was done ran again."""
     site.scheduler.add_job(make_job())
--- a/packages/pollenkeel-jobs/tests/jobs_doubles.py
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -117,6 +117,21 @@
         )
         return self.scheduler.take_report(report, grants)
 
+    def report_without_lists(self):
+        """Report as an agent does whose worker does not answer."""
+        report = VmReport(
+            self.name,
+            0.0,
+            self.name,
+            self.epoch,
+            worker=self.life,
+            service="desk",
+            zone=self.zone,
+            state="draining" if self.draining else "ready",
+            capacity=self.capacity,
+        )
+        return self.scheduler.take_report(report, True)
+
     def start(self, orders):
         """Take start orders."""
         for order in orders:
