Move long-running tasks off a worker that drains

Cause: a worker that leaves keeps its long-running tasks until it is gone; then they waited up to 5.5 s for the end of its lease. Where the worker says that it drains, the tasks can be stopped at once and started elsewhere. Ruled out: treating a refused connection as the worker's end (a cut can refuse while the worker runs on). Change: Migration.choose_leaving stops long-running tasks of draining VMs if another VM has room for them. Before: test_long_running_task_leaves_a_worker_that_drains fails. After: it passes.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/migration.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/migration.py
@@ -1,4 +1,4 @@
-"""Chooses filling tasks that make little progress and have a better VM."""
+"""Chooses tasks that are better off on another VM."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 class Migration:
-    """Moves tasks that are paced down, by a stop that saves their progress.
+    """Moves tasks by a stop that saves their progress.
 
     Parameters
     ----------
@@ -32,8 +32,34 @@
     def __init__(self, placement: Placement) -> None:
         self._placement = placement
 
+    def choose_leaving(
+        self, vms: Iterable[Vm], usable: list[Vm]
+    ) -> Iterator[tuple[Vm, Task]]:
+        """Yield long-running tasks of VMs whose worker leaves.
+
+        They would run until the worker is gone and then wait for the end of its lease.
+
+        Parameters
+        ----------
+        vms : iterable of Vm
+            All VMs.
+        usable : list of Vm
+            VMs that may receive starts.
+        """
+        for vm in vms:
+            if not vm.draining or not vm.fenced:
+                continue
+            for task in vm.tasks_by_id.values():
+                if (
+                    task.step.long_running
+                    and task.state is TaskState.PLACED
+                    and not task.stop_wanted
+                    and self._placement.choose(task, usable) is not None
+                ):
+                    yield vm, task
+
     def choose(self, vms: Iterable[Vm], now: float) -> Iterator[tuple[Vm, Task]]:
-        """Yield the tasks to stop, with the VM that they leave."""
+        """Yield the filling tasks that are paced down, with the VM that they leave."""
         usable = list(vms)
         moves = 0
         for vm in usable:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -545,7 +545,7 @@
                 self._requeue(task, "lease lapsed")
             self._jobs.add_due_occurrences()
             self._place()
-            self._move_starved()
+            self._move()
             jobs = self._jobs.take_dirty(_JOBS_PER_COMMIT)
             ends = [] if self._jobs.dirty else list(self._collect_ends())
             if self._jobs.dirty:
@@ -665,13 +665,18 @@
             load=round(vm.cpu_load, 2),
         )
 
-    def _move_starved(self) -> None:
-        """Stop filling tasks that have a better VM."""
+    def _move(self) -> None:
+        """Stop tasks that have a better VM."""
         now = self._clock.now()
         if now < self._move_at:
             return
         self._move_at = now + _MOVE_INTERVAL
-        for vm, task in self._migration.choose(self._fleet.usable(), now):
+        usable = self._fleet.usable()
+        moves = [
+            *self._migration.choose(usable, now),
+            *self._migration.choose_leaving(self._fleet.vms(), usable),
+        ]
+        for vm, task in moves:
             log_change(
                 logger,
                 "task moves",
@@ -679,7 +684,8 @@
                 run=task.run,
                 vm=vm.name,
                 percent=task.percent,
-                starved=round(now - task.starved_since, 2),
+                starved=round(now - task.starved_since, 2) if task.starved_since else 0,
+                draining=vm.draining,
             )
             task.stop_wanted = True
             self._stop(vm, task.task_id, task.run, now)
--- a/packages/pollenkeel-jobs/tests/core/test_scheduler.py
+++ b/packages/pollenkeel-jobs/tests/core/test_scheduler.py
@@ -154,6 +154,21 @@
     assert successor.running == ["j1.0.0.0", "j1.0.0.1"]
 
 
+def test_long_running_task_leaves_a_worker_that_drains(clock):
+    """It ran on until the worker was gone, and then waited for the end of its lease."""
+    site = Site(clock, vms=2, cpu=1000)
+    step = StepSpec(1, Demand(1000, 100), long_running=True)
+    site.scheduler.add_job(make_job(steps=(step,)))
+    site.step()
+    leaving = next(vm for vm in site.vms if vm.running)
+    other = next(vm for vm in site.vms if vm is not leaving)
+    leaving.draining = True
+    clock.advance(0.5)
+    site.step()
+    site.step()
+    assert [run.task_id for run in other.running] == ["j1.0.0.0"]
+
+
 def test_end_is_learnt_from_an_agent_that_restarts_later_than_others(site):
     """After a kill of all processes a task that was done ran again."""
     site.scheduler.add_job(make_job())
