Learn speeds only from runs whose start is known; log the use of filling tasks

Cause: after a change of leader the placement time of loaded runs is 0, so each counted as half a century of work: the expected run time of its step and queue became useless and no slow VM was found any more in that term. Change: such runs are not learnt from; 'run ended' has the mean share of the declared processor time that a filling task got. Before: test_speed_is_not_learnt_from_runs_of_an_earlier_term fails. After: passes.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -240,7 +240,7 @@
         Life of the worker that the latest run was placed on.
     placed_at, seen_at : float
         Time of the placement and of the first report that lists the run, in seconds
-        since the Unix epoch; 0 if it has not happened.
+        since the Unix epoch; 0 if it has not happened in this term.
     order_deadline : float
         Time on the worker's clock, in milliseconds, after which the worker refuses
         the order of the latest run.
@@ -255,6 +255,8 @@
     starved_since : float
         Time since which the run gets little processor time, in seconds since the Unix
         epoch; 0 if it gets enough.
+    use : float
+        Mean processor time of the run's figures as a share of what it declares.
     """
 
     job: Job
@@ -274,6 +276,7 @@
     percent: int = 0
     progress_at: float = 0.0
     starved_since: float = 0.0
+    use: float = 0.0
     ticket: str = ""
     failed_on: set[str] = attrs.field(factory=set)
     task_id: str = attrs.field(init=False, default="")
@@ -289,6 +292,7 @@
         self.sent = False
         self.stop_wanted = False
         self.starved_since = 0.0
+        self.use = 0.0
         self.ticket = ""
 
     @property
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
@@ -10,6 +10,8 @@
 
 #: Share of its declared processor use below which a filling task is starved.
 _STARVED_SHARE = 0.4
+#: Weight of the newest figure in the mean use of a run.
+_USE_WEIGHT = 0.1
 #: Seconds after the start of a run before its figures count.
 _WARM_UP_SECONDS = 0.8
 #: Share of its declared processor use that a slowed task is counted with.
@@ -44,6 +46,8 @@
         task.progress_at = now
     if not step.fills:
         return
+    share = running.figure / max(1, step.demand.cpu)
+    task.use += _USE_WEIGHT * (share - task.use) if task.use else share
     starved = running.figure < _STARVED_SHARE * step.demand.cpu
     if not starved or now - task.seen_at < _WARM_UP_SECONDS:
         task.starved_since = 0.0
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -401,7 +401,8 @@
             run=ended.run,
             vm=vm.name,
             how=ended.how,
-            seconds=round(now - task.placed_at, 3),
+            seconds=round(now - task.placed_at, 3) if task.placed_at else None,
+            use=round(task.use, 2) if task.step.fills else None,
         )
         RUNS_ENDED.labels(ended.how).inc()
         vm.remove(task)
@@ -684,7 +685,7 @@
                 run=task.run,
                 vm=vm.name,
                 percent=task.percent,
-                starved=round(now - task.starved_since, 2) if task.starved_since else 0,
+                use=round(task.use, 2),
                 draining=vm.draining,
             )
             task.stop_wanted = True
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/speed.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/speed.py
@@ -46,7 +46,7 @@
             Time of its end, in seconds since the Unix epoch.
         """
         step = task.step
-        if step.fills or not task.seen_at or task.checkpoint:
+        if step.fills or not task.seen_at or not task.placed_at or task.checkpoint:
             return
         seconds = now - task.placed_at
         queue = task.job.spec.queue.name
--- a/packages/pollenkeel-jobs/tests/core/test_scheduler.py
+++ b/packages/pollenkeel-jobs/tests/core/test_scheduler.py
@@ -169,6 +169,19 @@
     assert [run.task_id for run in other.running] == ["j1.0.0.0"]
 
 
+def test_speed_is_not_learnt_from_runs_of_an_earlier_term(site):
+    """A run whose start is not known counted as half a century of work."""
+    site.scheduler.add_job(make_job())
+    site.step()
+    successor = _take_over(site)
+    successor.step()
+    successor.vms[0].end("j1.0.0.0")
+    successor.step()
+    successor.vms[0].end("j1.0.0.1")
+    successor.step()
+    assert successor.vms[0].vm.slowness == 1.0
+
+
 def test_end_is_learnt_from_an_agent_that_restarts_later_than_others(site):
     """After a kill of all processes a task that was done ran again."""
     site.scheduler.add_job(make_job())
