--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -37,8 +37,9 @@
     PROGRESS,
     get_intake_partition,
 )
+from pollenkeel_jobs.core.passes import VmWork
 from pollenkeel_jobs.core.records import RecordError, decode_job
-from pollenkeel_jobs.core.scheduler import Scheduler, VmWork
+from pollenkeel_jobs.core.scheduler import Scheduler
 from pollenkeel_jobs.core.tables import (
     Condition,
     FailureKind,
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterable
 from typing import Any
 
-import attrs
 import logbook
 
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketBook
@@ -18,7 +17,6 @@
     EndedTask,
     OrderOutcome,
     StartOrder,
-    StopOrder,
     VmReport,
     VmReportReply,
 )
@@ -34,6 +32,7 @@
 )
 from pollenkeel_jobs.core.names import HARM, HARM_KEY, PROGRESS
 from pollenkeel_jobs.core.operations import Operations
+from pollenkeel_jobs.core.passes import Pass, PlannedStart, RecordedEnds, VmWork
 from pollenkeel_jobs.core.placement import LeastLoaded
 from pollenkeel_jobs.core.progress import (
     has_stalled,
@@ -43,6 +42,7 @@
 )
 from pollenkeel_jobs.core.records import encode_progress
 from pollenkeel_jobs.core.speed import VmSpeeds
+from pollenkeel_jobs.core.stops import StopBook
 from pollenkeel_jobs.core.tables import RowWrite
 from pollenkeel_jobs.core.vms import Vm, make_profile
 from pollenkeel_kernel.core.clock import Clock
@@ -52,8 +52,6 @@
 
 #: Jobs written in one transaction.
 _JOBS_PER_COMMIT = 60
-#: Seconds between two orders to stop the same run.
-_STOP_INTERVAL = 0.5
 #: Seconds after its order at which a run that is not listed is withdrawn.
 _UNSEEN_SECONDS = 1.5
 #: Seconds between two looks for tasks to move.
@@ -64,54 +62,6 @@
 _MISSES_PER_PASS = 12
 
 
-@attrs.frozen
-class PlannedStart:
-    """A run that was placed; ``run`` tells it from a later run of the same task."""
-
-    task: Task
-    run: int
-
-
-@attrs.define
-class VmWork:
-    """Orders for one VM that result from a pass."""
-
-    vm: Vm
-    starts: list[PlannedStart] = attrs.field(factory=list)
-    stops: list[StopOrder] = attrs.field(factory=list)
-
-
-@attrs.frozen
-class RecordedEnds:
-    """Ends of one life of a worker whose effect is recorded by a pass."""
-
-    vm: Vm
-    life: str
-    through: int
-
-
-@attrs.define
-class Pass:
-    """Result of one pass of the scheduler.
-
-    Attributes
-    ----------
-    writes : tuple of RowWrite
-        Progress to record before anything else of the pass takes effect.
-    statuses_by_job : dict of Job to JobStatus
-        Jobs whose progress is written, with the status that is recorded.
-    works : list of VmWork
-        Orders to send after the write.
-    ends : list of RecordedEnds
-        Ends that may be acknowledged after the write.
-    """
-
-    writes: tuple[RowWrite, ...]
-    statuses_by_job: dict[Job, JobStatus]
-    works: list[VmWork]
-    ends: list[RecordedEnds]
-
-
 class Scheduler:
     """State of all jobs and VMs for one term of leadership.
 
@@ -137,8 +87,7 @@
         self._fleet = Fleet(clock)
         self._tickets = TicketBook(clock)
         self._unsent: list[PlannedStart] = []
-        self._stops: dict[tuple[str, int], tuple[str, float]] = {}
-        self._new_stops: dict[Vm, list[StopOrder]] = {}
+        self._stops = StopBook()
         self._harm = harm
         self._placement = LeastLoaded(self._harm)
         self._migration = Migration(self._placement)
@@ -375,17 +324,13 @@
         self._fleet.quarantine.record(vm.life, task.job.spec.job_id, True, now)
 
     def _stop(self, vm: Vm, task_id: str, run: int, now: float) -> None:
-        life, again_at = self._stops.get((task_id, run), ("", 0.0))
-        if life == vm.life and now < again_at:
-            return
-        self._stops[task_id, run] = (vm.life, now + _STOP_INTERVAL)
-        self._new_stops.setdefault(vm, []).append(StopOrder(task_id, run))
-        self.wake.set()
+        if self._stops.add(vm, task_id, run, now):
+            self.wake.set()
 
     # Ends of runs.
 
     def _take_end(self, vm: Vm, ended: EndedTask, now: float) -> None:
-        self._stops.pop((ended.task_id, ended.run), None)
+        self._stops.forget(ended.task_id, ended.run)
         parsed = parse_task_id(ended.task_id)
         job = self._jobs.find(parsed[0]) if parsed else None
         task = job.task(parsed[1]) if job is not None and parsed else None
@@ -584,9 +529,8 @@
             vm = self._fleet.find_by_life(start.task.runner)
             if vm is not None:
                 works_by_vm.setdefault(vm, VmWork(vm)).starts.append(start)
-        for vm, stops in self._new_stops.items():
+        for vm, stops in self._stops.take().items():
             works_by_vm.setdefault(vm, VmWork(vm)).stops.extend(stops)
-        self._new_stops.clear()
         return list(works_by_vm.values())
 
     def confirm(self, done: Pass) -> None:
