--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/contact.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/contact.py
@@ -55,7 +55,8 @@
             not known.
         """
         term = self.term
-        if term is not None and not term.over.is_set():
+        # A lease that was given up leaves the term before its last write has ended.
+        if term is not None and not term.over.is_set() and self._leadership.holds:
             reply = term.handle(message)
             if reply is not None:
                 return Ok(reply)
--- a/packages/pollenkeel-jobs/tests/core/test_contact.py
+++ b/packages/pollenkeel-jobs/tests/core/test_contact.py
@@ -1,5 +1,6 @@
 """The way of an entry and of an agent to the leader while connections fail."""
 
+import threading
 import types
 
 import pytest
@@ -15,6 +16,7 @@
     VmReportReply,
 )
 from pollenkeel_kernel import SystemClock
+from pollenkeel_kernel.core.messages import ErrorReply
 from pollenkeel_kernel.core.transport import ReplyServer
 from pollenkeel_standins.processes import wait_until
 from pollenkeel_standins.relay import Relay
@@ -61,6 +63,19 @@
     wait_until(lambda: contact.ask(query, 0.3), 10.0, "the leader answers again")
 
 
+def test_entry_that_gave_its_lease_up_asks_its_successor(relay):
+    """It relayed writes to itself, to a store that it does not reach (inc-a2a5)."""
+    lease = types.SimpleNamespace(
+        leader=LeaseRecord(0, "e", relay.address, 0), holds=False
+    )
+    contact = LeaderContact("entry-1", lease, CLOCK)
+    contact.term = types.SimpleNamespace(
+        over=threading.Event(), handle=lambda message: ErrorReply("e", 0.0, 2003, "")
+    )
+    query = JobQuery("entry-1", CLOCK.now(), "j1")
+    assert isinstance(contact.ask(query, 2.0), JobQueryReply)
+
+
 def test_agent_replaces_a_connection_that_is_silent_for_good(relay, leader):
     """No task was started any more after one such connection (soak seed 101)."""
     agent = VmAgent("vm-1", CLOCK, worker=None)
