--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -10,6 +10,7 @@
 from pollenkeel_standins.job_site import JobSite
 from pollenkeel_standins.relay import Mode, Relay
 
+#: Switches of a store without faults.
 CALM_STORE = {
     "down": "off",
     "slow": 0.0,
