Pause filling tasks the sooner the higher the latency they may have caused

A play with logs shows pauses that begin at up to 10.8 times the target after 2.4 s; the latency then halves in about 0.4 s and takes up to 1.8 s to fall below the target, which is more than what was left of the 4 s. Ruled out: an agent without profiles or without a leader (it logged its pauses). Change: the time that the latency needs to fall is taken off the patience. Before: test_high_latency_falls_below_the_target_in_time fails. After: it passes.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/harm_guard.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/harm_guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 import logbook
@@ -14,10 +15,12 @@
 #: and below which it no longer does. The figures are rough, so the latter is below 1.
 _OVER_FROM = 1.0
 _OVER_UNTIL = 0.9
-#: Seconds over the target after which all filling tasks are paused. Figures lag by up
-#: to a second, and operators tolerate four seconds of harm. Pacing by learnt pairs
-#: needs most of this time, and a pause of all costs more work.
-_PATIENCE_SECONDS = 2.4
+#: Seconds from the first figure over the target until it must be below again, with all
+#: filling tasks paused if need be. Figures lag by up to a second, and operators
+#: tolerate four seconds of harm.
+_HARM_SECONDS = 2.4
+#: Seconds in which a high latency falls by the factor e once all have paused.
+_DECAY_SECONDS = 0.6
 
 
 class HarmGuard:
@@ -25,7 +28,7 @@
 
     Pacing relies on learnt pairs of images, which may be wrong or incomplete. The guard
     does not: if a serving task stays over its target, everything that fills pauses
-    until it is below.
+    until it is below, the sooner the higher the latency is.
     """
 
     def __init__(self) -> None:
@@ -51,11 +54,13 @@
                 self._over_since_by_run.setdefault(run, now)
             elif pressure < _OVER_UNTIL:
                 self._over_since_by_run.pop(run, None)
-        since = min(self._over_since_by_run.values(), default=now)
-        pauses = now - since >= _PATIENCE_SECONDS or (
-            self._pauses and bool(self._over_since_by_run)
+        over = self._over_since_by_run
+        pauses = (self._pauses and bool(over)) or any(
+            now - since >= _HARM_SECONDS - _estimate_decay(pressure_by_run[run])
+            for run, since in over.items()
         )
         if pauses != self._pauses:
+            since = min(over.values(), default=now)
             self._log(pauses, pressure_by_run, round(now - since, 2))
         self._pauses = pauses
         return pauses
@@ -72,3 +77,8 @@
         log_change(
             logger, event, over=over[:3], pressure=round(highest, 2), seconds=seconds
         )
+
+
+def _estimate_decay(pressure: float) -> float:
+    """Return the seconds that a latency needs to fall to its target after a pause."""
+    return _DECAY_SECONDS * math.log(max(1.0, pressure))
--- a/packages/pollenkeel-jobs/tests/core/test_harm.py
+++ b/packages/pollenkeel-jobs/tests/core/test_harm.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pollenkeel_jobs.core.harm import HarmModel
+from pollenkeel_jobs.core.harm_guard import HarmGuard
 from pollenkeel_jobs.core.messages import PairHarm, RunningTask, TaskProfile
 from pollenkeel_jobs.core.pacing import PaceController
 
@@ -161,3 +162,17 @@
         40.0,
     )
     assert longest <= 3.0
+
+
+def test_high_latency_falls_below_the_target_in_time():
+    """It falls only slowly after a pause, so that 2.4 s of patience were too long."""
+    guard = HarmGuard()
+    pressure, over, now = 10.0, 0.0, 0.0
+    while pressure > 1.0:
+        pauses = guard.update({("s", 1): pressure}, now)
+        # As seen on the platform: the latency halves in 0.4 s once all have paused.
+        pressure *= 0.5 if pauses else 1.0
+        now += 0.4
+        over += 0.4
+    # Four seconds are tolerated, and the figures lag by up to a second.
+    assert over <= 3.0
