Choose the ports of the job site below those of outgoing connections

Ruled out: a process of the same site that still held the port (the agent failed at its first start). Change: ports come from 15000 to 31999, which Linux does not give to connections.

--- a/standins/pollenkeel_standins/job_site.py
+++ b/standins/pollenkeel_standins/job_site.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import random
 import socket
 import sys
 import time
@@ -18,12 +20,25 @@
 _PREFIX = "/jobs/"
 _CLIENT_SECONDS = 3.0
 _RECORD_SECONDS = 0.3
+#: Ports below those that Linux gives to outgoing connections.
+_PORTS = range(15_000, 32_000)
+_PORT_TRIES = 100
 
 
 def _find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a port that is free now and that no outgoing connection gets.
+
+    A port chosen by the kernel may be given to a connection before the process that is
+    to listen on it has started.
+    """
+    for port in random.SystemRandom().sample(_PORTS, _PORT_TRIES):
+        with socket.socket() as probe:
+            if probe.connect_ex(("127.0.0.1", port)) == 0:
+                continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
+    raise OSError(f"none of {_PORT_TRIES} ports below {_PORTS.stop} is free")
 
 
 class JobSite:
