Show late jobs and withheld processor time in metrics and lines

With the lines there were, a filling task that was slow could not be told from one that lacked cores: changes of pace, the learnt interference, the cores that pacing withholds and the objective of a job stood nowhere. Now there are pollenkeel_jobs_ended, pollenkeel_job_objective_ratio, pollenkeel_filling_cores and pollenkeel_serving_pressure, the line "run paced" for each change of pace, image in "run ended", queue, seconds and objective in "job ended", and the learnt interference in the leader's dump. No decision changes.

--- a/benchmarks/job_time_loss.py
+++ b/benchmarks/job_time_loss.py
@@ -1,9 +1,9 @@
 """Splits the time of jobs by cause, from the decision lines of the leader.
 
-Run with ``python benchmarks/job_time_loss.py LOG...``. A log holds the standard output of
-all entries; anything in front of the JSON object of a line is ignored. For jobs with
-filling tasks and for the others, a table shows how they ended and where the last task of
-each step spent its time.
+Run with ``python benchmarks/job_time_loss.py LOG...``. A log holds the standard output
+of all entries; anything in front of the JSON object of a line is ignored. For jobs with
+filling tasks and for the others, a table shows how they ended and where the last task
+of each step spent its time.
 """
 
 from __future__ import annotations
@@ -142,9 +142,7 @@
 
 def main(paths: list[str]) -> None:
     """Print the tables for logs."""
-    jobs = [
-        job for path in paths for job in collect_jobs(read_lines([path])).values()
-    ]
+    jobs = [job for path in paths for job in collect_jobs(read_lines([path])).values()]
     print_kind("filling", [job for job in jobs if job.fills])
     print_kind("other", [job for job in jobs if not job.fills])
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -21,6 +21,7 @@
     VmReport,
     VmReportReply,
 )
+from pollenkeel_jobs.core.metrics import FILLING_CORES, SERVING_PRESSURE
 from pollenkeel_jobs.core.pacing import PaceController
 from pollenkeel_jobs.core.worker import (
     Worker,
@@ -283,6 +284,18 @@
             result = self._worker.pace(order, pace.task_id, pace.run, pace.percent)
             if not isinstance(result, Err):
                 state.pace.confirm(pace)
+            log_change(
+                logger,
+                "run paced",
+                task=pace.task_id,
+                run=pace.run,
+                percent=pace.percent,
+                pressure=round(state.pace.pressure, 2),
+                accepted=not isinstance(result, Err),
+            )
+        for what, cores in attrs.asdict(state.pace.filling_cores).items():
+            FILLING_CORES.labels(what).set(cores)
+        SERVING_PRESSURE.set(state.pace.pressure)
 
     def _describe(
         self,
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/harm.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/harm.py
@@ -131,6 +131,16 @@
         weight = model.regression.weight(filling)
         return weight if weight > _NEGLIGIBLE else 0.0
 
+    def describe(self) -> dict[str, dict[str, float]]:
+        """Return the weights of the filling images for each serving image."""
+        return {
+            image: {
+                name: round(self.weight(image, name), 2)
+                for name in sorted(model.images - {_BASE})
+            }
+            for image, model in self._models_by_image.items()
+        }
+
     def pairs(self, serving: set[str], filling: set[str]) -> Iterator[PairHarm]:
         """Yield the harmful pairs of these images."""
         for image in sorted(serving):
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from pollenkeel_jobs.core.metrics import RUNS_LOST
+from pollenkeel_jobs.core.metrics import JOB_OBJECTIVE_RATIO, JOBS_ENDED, RUNS_LOST
 from pollenkeel_jobs.core.model import Job, JobSpec, JobStatus, Task, TaskState
 from pollenkeel_jobs.core.records import RecordError, apply_progress, decode_job
 from pollenkeel_kernel.core.clock import Clock
@@ -170,7 +170,7 @@
 
     def finish(self, job: Job, status: JobStatus) -> None:
         """End a job."""
-        log_change(logger, "job ended", job=job.spec.job_id, status=status.value)
+        self._note_end(job, status)
         job.status = status
         self.dirty[job] = None
         self._timed.pop(job, None)
@@ -178,6 +178,23 @@
         for task in job.tasks():
             self.ready.pop(task, None)
 
+    def _note_end(self, job: Job, status: JobStatus) -> None:
+        queue = job.spec.queue.name
+        seconds = self._clock.now() - job.accepted_at
+        objective = job.objective_at - job.accepted_at
+        log_change(
+            logger,
+            "job ended",
+            job=job.spec.job_id,
+            queue=queue,
+            status=status.value,
+            seconds=round(seconds, 2),
+            objective=round(objective, 2),
+        )
+        JOBS_ENDED.labels(queue, status.value).inc()
+        if status is JobStatus.DONE and objective > 0:
+            JOB_OBJECTIVE_RATIO.labels(queue).observe(seconds / objective)
+
     def take_dirty(self, most: int) -> list[Job]:
         """Remove and return the jobs to record next."""
         jobs = list(self.dirty)[:most]
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from prometheus_client import Counter, Histogram
+from prometheus_client import Counter, Gauge, Histogram
 
 from pollenkeel_kernel.core.metrics import LATENCY_BUCKETS, REGISTRY
 
@@ -36,3 +36,24 @@
     buckets=LATENCY_BUCKETS,
     registry=REGISTRY,
 )
+JOBS_ENDED = Counter(
+    "pollenkeel_jobs_ended", "Jobs that ended.", ["queue", "status"], registry=REGISTRY
+)
+JOB_OBJECTIVE_RATIO = Histogram(
+    "pollenkeel_job_objective_ratio",
+    "Time of a job that is done, as a multiple of its objective.",
+    ["queue"],
+    buckets=(0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0),
+    registry=REGISTRY,
+)
+FILLING_CORES = Gauge(
+    "pollenkeel_filling_cores",
+    "Cores of the filling tasks of a VM: declared, allowed by their pace, in use.",
+    ["what"],
+    registry=REGISTRY,
+)
+SERVING_PRESSURE = Gauge(
+    "pollenkeel_serving_pressure",
+    "Highest tail latency of a VM's serving tasks, as a multiple of its target.",
+    registry=REGISTRY,
+)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
@@ -42,6 +42,21 @@
     percent: int
 
 
+@attrs.frozen
+class FillingCores:
+    """Cores of the filling tasks of a VM.
+
+    Attributes
+    ----------
+    declared, allowed, used : float
+        What the tasks declare, what their paces allow of it, and what they use.
+    """
+
+    declared: float = 0.0
+    allowed: float = 0.0
+    used: float = 0.0
+
+
 @attrs.define
 class _RunPace:
     percent: float = _FULL
@@ -70,12 +85,21 @@
     Which images do harm is learnt by the leader over all VMs; as long as nothing is
     known of an image beside a task that is over its target, every filling task is
     slowed.
+
+    Attributes
+    ----------
+    pressure : float
+        Highest latency over target of the serving tasks at the last decision.
+    filling_cores : FillingCores
+        Cores of the filling tasks at the last decision.
     """
 
     def __init__(self) -> None:
         self._paces_by_run: dict[tuple[str, int], _RunPace] = {}
         self._sent_by_run: dict[tuple[str, int], int] = {}
         self._guard = HarmGuard()
+        self.pressure = 0.0
+        self.filling_cores = FillingCores()
 
     @property
     def active(self) -> bool:
@@ -120,6 +144,7 @@
                 pressure = task.figure / profile.latency_target
                 run = (task.task_id, task.run)
                 serving.append(_Serving(run, profile.image, pressure))
+        self._note_figures(serving, filling)
         self._forget({(item.task.task_id, item.task.run) for item in filling})
         paused = self._guard.update({item.run: item.pressure for item in serving}, now)
         for item in filling:
@@ -139,6 +164,17 @@
         """Record that the worker accepted a change of pace."""
         self._sent_by_run[pace.task_id, pace.run] = pace.percent
 
+    def _note_figures(self, serving: list[_Serving], filling: list[_Filling]) -> None:
+        self.pressure = max((item.pressure for item in serving), default=0.0)
+        milli = 1000.0
+        self.filling_cores = FillingCores(
+            sum(item.profile.cores for item in filling) / milli,
+            sum(item.profile.cores * item.pace.percent for item in filling)
+            / _FULL
+            / milli,
+            sum(item.task.figure for item in filling) / milli,
+        )
+
     def _forget(self, listed: set[tuple[str, int]]) -> None:
         for run in set(self._paces_by_run) - listed:
             del self._paces_by_run[run]
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -168,6 +168,7 @@
             return {
                 "epoch": self.epoch,
                 "waiting": [task.task_id for task in self._jobs.ready],
+                "interference": self._harm.describe(),
                 "vms": [
                     {
                         "name": vm.name,
@@ -347,6 +348,7 @@
             vm=vm.name,
             how=ended.how,
             seconds=round(now - task.placed_at, 3) if task.placed_at else None,
+            image=task.step.image or None,
             use=round(task.use, 2) if task.step.fills else None,
         )
         RUNS_ENDED.labels(ended.how).inc()
