--- /dev/null
+++ b/benchmarks/filling_tasks.py
@@ -0,0 +1,66 @@
+"""Worth of filling jobs and harm to serving tasks, with the real decision code.
+
+Run with ``python benchmarks/filling_tasks.py [PLAYS]``; the seeds are fixed. Each play
+is a fleet of VMs with another draw of images, pairs and jobs.
+"""
+
+from __future__ import annotations
+
+import statistics
+import sys
+from concurrent.futures import ProcessPoolExecutor
+
+from pollenkeel_standins.shared_vms import LoadSettings, SharedFleet
+
+#: Plays that run at the same time.
+PROCESSES = 4
+LOADS = {
+    "desk, 64 cores": LoadSettings(),
+    "desk, busy": LoadSettings(jobs_per_second=1.3),
+    "shop, 32 cores": LoadSettings(
+        vm_cores=(32_000,) * 8 + (48_000,) * 3,
+        serving_cores=6_500,
+        cores_per_task=3_500,
+        jobs_per_second=0.6,
+        task_seconds=4.4,
+    ),
+    "few harmful pairs": LoadSettings(harmful_share=0.2),
+    "no harmful pairs": LoadSettings(harmful_share=0.0),
+}
+
+
+def play(task: tuple[str, int]) -> tuple[float, float, float, float]:
+    """Return earned share, disturbed share, longest stretch and mean cores in use."""
+    load, seed = task
+    fleet = SharedFleet(LOADS[load], seed)
+    results = fleet.play()
+    worth = sum(result.worth for result in results)
+    earned = sum(result.worth * result.earned for result in results)
+    time = fleet.serving_time
+    return (
+        earned / worth,
+        time.disturbed / max(1.0, time.total),
+        time.longest,
+        fleet.used_core_seconds / fleet.settings.seconds,
+    )
+
+
+def main(plays: int) -> None:
+    """Print a row for each load."""
+    print("| load | earned, mean | lowest tenth | disturbed | longest s | cores |")
+    print("| --- | ---: | ---: | ---: | ---: | ---: |")
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        for load in LOADS:
+            rows = list(pool.map(play, [(load, seed) for seed in range(plays)]))
+            earned = sorted(row[0] for row in rows)
+            print(
+                f"| {load} | {statistics.mean(earned):.3f}"
+                f" | {earned[len(earned) // 10]:.3f}"
+                f" | {statistics.mean(row[1] for row in rows):.4f}"
+                f" | {max(row[2] for row in rows):.1f}"
+                f" | {statistics.mean(row[3] for row in rows):.0f} |"
+            )
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 8)
