Place filling tasks by the room at their full speed, not by the paced latency

What callers saw: ten filling tasks of one harmful image shared a VM at a tenth of their speed each, and a job waits for its slowest.

Cause: placement compared the present latency plus the harm of one more task with a limit. Pacing keeps that latency below the target whatever is placed, so there was always room for one more. The class of fault: one regulator takes a signal for free room that another regulator holds constant. The harm and the latency have also had different units since harm is learnt as headroom.

Change: a VM keeps what each serving image has left without filling tasks, and what all placed filling tasks would take at their full speed; a task waits if both together pass half of it. A task that has waited for 5 s is placed where it is the only one that does harm: an image that is harmful everywhere never got a VM before.

It stays for the two tests that fail before it, test_room_that_pacing_has_made_is_not_taken_for_free and test_a_task_that_is_harmful_everywhere_is_placed_in_the_end.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -7,16 +7,22 @@
 
 from pollenkeel_jobs.core.harm import HarmModel
 from pollenkeel_jobs.core.model import Task
+from pollenkeel_jobs.core.pacing import HEADROOM_KEPT
 from pollenkeel_jobs.core.vms import Vm
 
-#: Load added for each unit of pressure that a task would add or suffer.
-_HARM_FACTOR = 2.0
-#: Seconds after which a run shows in the figures of others.
-_FIGURE_LAG = 1.0
-#: Pressure that one task may add without a look at the pressure there is.
-_HARMLESS = 0.08
-#: Pressure, latency over target, up to which a filling task may be added.
-_PRESSURE_LIMIT = 0.75
+#: Load added for each unit of headroom that a serving task would lose.
+_HARM_FACTOR = 0.3
+#: Load added for the whole headroom of the serving tasks.
+_SHARE_FACTOR = 1.0
+#: Share of the room up to which filling tasks are added. The load of the serving tasks
+#: swings, so that the room is often less by the time when a task ends.
+_SHARE_LIMIT = 0.5
+#: Seconds for which a task waits for a VM with room for it.
+_PATIENCE_SECONDS = 5.0
+#: Headroom that a serving image is counted with before there are figures.
+_UNKNOWN_HEADROOM = 2.0
+#: Least room that a serving image is counted with.
+_LEAST_ROOM = 0.2
 #: Load added for each other serving image: the fewer images share a VM, the more
 #: filling images do no harm there.
 _MIXED_IMAGES = 0.15
@@ -75,7 +81,9 @@
             rate += _MIXED_IMAGES * len(others)
             if step.image in vm.serving_images:
                 rate -= _SAME_IMAGE
-        if step.fills or step.latency_target:
+        if step.fills:
+            rate += _SHARE_FACTOR * self._share_needed(task, vm)
+        elif step.latency_target:
             rate += _HARM_FACTOR * self._estimate_harm(task, vm)
         if vm.life in task.failed_on:
             rate += _FAILED_HERE
@@ -84,43 +92,52 @@
         return rate
 
     def is_harmful(self, task: Task, vm: Vm) -> bool:
-        """Return whether a filling task would bring others over their target."""
-        step = task.step
-        if not step.fills:
+        """Return whether pacing would slow the filling tasks much with this one.
+
+        A task that has waited long is placed where it is the only one that does harm,
+        since no VM may ever have the room for its full speed.
+        """
+        if not task.step.fills:
             return False
-        share = step.demand.cpu / max(1, vm.capacity.cpu)
-        for image in vm.serving_images:
-            harm = self._harm.weight(image, step.image) * share
-            pressure = vm.pressure_by_image.get(image, 0.0) + harm
-            pressure += self._estimate_unseen(image, vm)
-            if harm > _HARMLESS and pressure > _PRESSURE_LIMIT:
-                return True
-        return False
-
-    def _estimate_unseen(self, image: str, vm: Vm) -> float:
-        """Return the pressure that recently placed tasks will add to an image."""
+        share = self._share_needed(task, vm)
+        if share <= _SHARE_LIMIT:
+            return False
+        waits_long = self.now - task.ready_at > _PATIENCE_SECONDS
+        return not waits_long or self._has_harmful(vm)
+
+    def _has_harmful(self, vm: Vm) -> bool:
+        return any(
+            demand and self._harm.weight(image, filling)
+            for image in vm.serving_images
+            for filling, demand in vm.fill_cores_by_image.items()
+        )
+
+    def _share_needed(self, task: Task, vm: Vm) -> float:
+        """Return the share of the serving tasks' room that all fills would need.
+
+        Above 1 they are paced, so that a task that waits for another VM or for the end
+        of others is done sooner.
+        """
+        step = task.step
         cores = max(1, vm.capacity.cpu)
-        unseen = 0.0
-        for task_id in vm.fill_use_by_task:
-            task = vm.tasks_by_id[task_id]
-            if not task.seen_at or self.now - task.seen_at < _FIGURE_LAG:
-                step = task.step
-                unseen += self._harm.weight(image, step.image) * step.demand.cpu / cores
-        return unseen
+        largest = 0.0
+        for image in vm.serving_images:
+            added = self._harm.weight(image, step.image) * step.demand.cpu
+            if not added:
+                continue
+            for filling, demand in vm.fill_cores_by_image.items():
+                added += self._harm.weight(image, filling) * demand
+            headroom = vm.headroom_by_image.get(image, _UNKNOWN_HEADROOM)
+            room = max(_LEAST_ROOM, headroom - HEADROOM_KEPT)
+            largest = max(largest, added / cores / room)
+        return largest
 
     def _estimate_harm(self, task: Task, vm: Vm) -> float:
-        """Return the pressure that the task adds to others, or gets from them."""
-        step = task.step
+        """Return the headroom that a serving task would lose to what fills there."""
         cores = max(1, vm.capacity.cpu)
-        if step.fills:
-            weights = (
-                self._harm.weight(image, step.image) for image in vm.serving_images
-            )
-            return sum(weights) * step.demand.cpu / cores
         return sum(
-            self._harm.weight(step.image, profile.image) * profile.cores / cores
-            for profile in vm.profiles_by_task.values()
-            if profile.fills
+            self._harm.weight(task.step.image, image) * demand / cores
+            for image, demand in vm.fill_cores_by_image.items()
         )
 
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterable
 
+from pollenkeel_jobs.core.harm import HarmModel
+from pollenkeel_jobs.core.headroom import get_headroom
 from pollenkeel_jobs.core.messages import RunningTask
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.vms import Vm
@@ -16,6 +18,8 @@
 _WARM_UP_SECONDS = 0.8
 #: Share of its declared processor use that a slowed task is counted with.
 _LEAST_USE = 0.25
+#: Seconds over which the headroom of a serving image is a mean.
+_HEADROOM_SECONDS = 1.0
 #: Seconds without progress after which a run counts as stalled.
 _STALL_SECONDS = 2.0
 #: Percent that a long-running task shows while it is at work.
@@ -73,12 +77,33 @@
     return not task.stop_wanted and now - task.progress_at > _STALL_SECONDS
 
 
-def note_pressure(vm: Vm, running: Iterable[RunningTask]) -> None:
-    """Keep the largest pressure on each image that serves on a VM."""
-    vm.pressure_by_image.clear()
+def note_headroom(
+    vm: Vm, running: Iterable[RunningTask], harm: HarmModel, now: float
+) -> None:
+    """Keep the mean headroom that each serving image has without filling tasks.
+
+    The present latency is no measure of the room for more: pacing keeps it below the
+    target however many filling tasks share what there is.
+    """
+    lowest_by_image: dict[str, float] = {}
+    uses_by_image: dict[str, float] = {}
     for run in running:
         profile = vm.profiles_by_task.get(run.task_id)
-        if profile is not None and profile.latency_target:
-            pressure = run.figure / profile.latency_target
-            known = vm.pressure_by_image.get(profile.image, 0.0)
-            vm.pressure_by_image[profile.image] = max(known, pressure)
+        if profile is None:
+            continue
+        image = profile.image
+        if profile.fills:
+            uses_by_image[image] = uses_by_image.get(image, 0.0) + run.figure
+        elif profile.latency_target and run.figure:
+            headroom = get_headroom(run.figure, profile.latency_target)
+            lowest_by_image[image] = min(lowest_by_image.get(image, headroom), headroom)
+    passed = now - vm.headroom_at
+    vm.headroom_at = now
+    share = passed / (passed + _HEADROOM_SECONDS)
+    for image in set(vm.headroom_by_image) - set(lowest_by_image):
+        del vm.headroom_by_image[image]
+    for image, headroom in lowest_by_image.items():
+        for filling, use in uses_by_image.items():
+            headroom += harm.weight(image, filling) * use / max(1, vm.capacity.cpu)
+        known = vm.headroom_by_image.get(image, headroom)
+        vm.headroom_by_image[image] = known + share * (headroom - known)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -38,7 +38,7 @@
 from pollenkeel_jobs.core.progress import (
     has_stalled,
     note_fill_use,
-    note_pressure,
+    note_headroom,
     note_use,
 )
 from pollenkeel_jobs.core.records import encode_progress
@@ -262,7 +262,7 @@
         if report.clock:
             vm.listed_at = now
             self._take_lists(vm, report, now)
-            note_pressure(vm, report.running)
+            note_headroom(vm, report.running, self._harm, now)
             note_fill_use(vm, report.running, now)
             self._harm.observe(
                 vm.name, report.running, vm.profiles_by_task, vm.capacity.cpu, now
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -48,8 +48,13 @@
     fill_use_by_task : dict of str to float
         Processor time that each filling task uses, in thousandths of a core; what it
         declares until there are figures.
-    pressure_by_image : dict of str to float
-        Largest tail latency over target of each serving image, from the last report.
+    fill_cores_by_image : dict of str to int
+        What the filling tasks of each image declare, in thousandths of a core.
+    headroom_at : float
+        Time of the last figures in ``headroom_by_image``, in seconds since the Unix
+        epoch.
+    headroom_by_image : dict of str to float
+        Mean headroom that each serving image would have without any filling task.
     """
 
     name: str
@@ -73,7 +78,9 @@
     fill_use_by_task: dict[str, float] = attrs.field(factory=dict)
     tasks_by_id: dict[str, Task] = attrs.field(factory=dict)
     serving_cpu: int = 0
-    pressure_by_image: dict[str, float] = attrs.field(factory=dict)
+    fill_cores_by_image: dict[str, int] = attrs.field(factory=dict)
+    headroom_at: float = 0.0
+    headroom_by_image: dict[str, float] = attrs.field(factory=dict)
     profiles_by_task: dict[str, TaskProfile] = attrs.field(factory=dict)
 
     @property
@@ -124,6 +131,8 @@
         self.used += step.reserved
         if step.fills:
             self.fill_use_by_task[task.task_id] = step.demand.cpu
+            known = self.fill_cores_by_image.get(step.image, 0)
+            self.fill_cores_by_image[step.image] = known + step.demand.cpu
         if step.latency_target:
             self.serving_cpu += step.demand.cpu
 
@@ -136,6 +145,8 @@
         self.used -= step.reserved
         if step.fills:
             del self.fill_use_by_task[task.task_id]
+            left = self.fill_cores_by_image[step.image] - step.demand.cpu
+            self.fill_cores_by_image[step.image] = left
         if step.latency_target:
             self.serving_cpu -= step.demand.cpu
 
--- a/packages/pollenkeel-jobs/tests/core/test_scheduler.py
+++ b/packages/pollenkeel-jobs/tests/core/test_scheduler.py
@@ -583,6 +583,38 @@
     assert not site.scheduler.plan().works
 
 
+def show_latency(site, latency):
+    """Let serving tasks be at work with a latency, and filling ones go on slowly."""
+    for vm in site.vms:
+        vm.running = [
+            attrs.evolve(run, percent=100, figure=latency)
+            if run.task_id.startswith("lasting")
+            else attrs.evolve(run, percent=run.percent + 1, figure=1_750.0)
+            for run in vm.running
+        ]
+    site.clock.advance(0.5)
+    site.step()
+
+
+def test_room_that_pacing_has_made_is_not_taken_for_free(clock):
+    """VMs whose filling tasks were paced to a quarter got more and more of them."""
+    site = Site(clock, cpu=64_000, memory=640_000)
+    serving = StepSpec(
+        1, Demand(13_000, 100), long_running=True, image="shop", latency_target=100.0
+    )
+    filling = StepSpec(2, Demand(7_000, 100), image="heavy", fills=True)
+    site.harm.load(msgpack.packb([2, [["shop", [["heavy", 0.7]]]]]))
+    site.scheduler.add_job(make_job("lasting", steps=(serving,)))
+    site.step()
+    show_latency(site, 75.0)
+    for number in range(5):
+        site.scheduler.add_job(make_job(f"batch{number}", steps=(filling,)))
+        show_latency(site, 75.0)
+    filled = [task for task in site.running if task.startswith("batch")]
+    # The headroom is 1.33 and 1.1 are kept; each takes 0.08 at its full speed.
+    assert 1 <= len(filled) <= 3
+
+
 def test_serving_tasks_of_one_image_share_vms(clock):
     """Mixed on each VM, they left no VM where a filling image does no harm."""
     site = Site(clock, vms=4, cpu=64_000, memory=640_000)
@@ -594,3 +626,23 @@
     site.step()
     images = [{run.task_id.split(".")[0] for run in vm.running} for vm in site.vms]
     assert all(len(found) == 1 for found in images)
+
+
+def test_a_task_that_is_harmful_everywhere_is_placed_in_the_end(clock):
+    """No VM ever had the room for its full speed, so that its job never ended."""
+    site = Site(clock, vms=2, cpu=64_000, memory=640_000)
+    serving = StepSpec(
+        2, Demand(13_000, 100), long_running=True, image="shop", latency_target=100.0
+    )
+    filling = StepSpec(4, Demand(7_000, 100), image="heavy", fills=True)
+    site.harm.load(msgpack.packb([2, [["shop", [["heavy", 40.0]]]]]))
+    site.scheduler.add_job(
+        make_job("lasting", steps=(attrs.evolve(serving, spread_limit=1),))
+    )
+    site.step()
+    site.scheduler.add_job(make_job("batch", steps=(filling,)))
+    show_latency(site, 75.0)
+    assert not [task for task in site.running if task.startswith("batch")]
+    for _ in range(12):
+        show_latency(site, 75.0)
+    assert [task for task in site.running if task.startswith("batch")]
