Count pairs of images that nothing is known of with some harm

What callers saw: serving tasks (crew-track) were over their target when filling images met them for the first time.

Cause: a pair without a learnt weight counted as harmless, so placement and pacing gave all of it full speed. It now counts with a weight of 2, between a harmless pair (about 0.6) and a harmful one (6 to 11), until samples say otherwise.

test_tasks_of_an_unknown_image_do_not_all_meet_a_serving_one fails before: nine are placed.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/harm.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/harm.py
@@ -20,6 +20,9 @@
 #: weight that an earlier leader has learnt.
 _UNCERTAINTY = 400.0
 _LOADED_UNCERTAINTY = 40.0
+#: Weight of a pair before anything is known: some caution, so that not many tasks of a
+#: harmful image meet a serving one for the first time.
+_UNKNOWN_WEIGHT = 2.0
 #: Weight that a sample keeps with each later sample of its serving image.
 _FORGETTING = 0.999
 #: Weights below this, headroom for a whole VM's cores, count as no harm.
@@ -124,7 +127,10 @@
 
     def _learn(self, image: str, changes: dict[str, float], loss: float) -> None:
         model = self._models_by_image.setdefault(image, _ServingModel())
-        model.images.update(changes)
+        for name in changes:
+            if name not in model.images:
+                model.images.add(name)
+                model.regression.set_weight(name, _UNKNOWN_WEIGHT, _UNCERTAINTY)
         model.regression.update(changes, loss)
 
     def encode(self) -> bytes:
@@ -157,8 +163,8 @@
     def weight(self, serving: str, filling: str) -> float:
         """Return the headroom that a filling image takes with all cores of a VM."""
         model = self._models_by_image.get(serving)
-        if model is None:
-            return 0.0
+        if model is None or filling not in model.images:
+            return _UNKNOWN_WEIGHT
         weight = model.regression.weight(filling)
         return weight if weight > _NEGLIGIBLE else 0.0
 
--- a/packages/pollenkeel-jobs/tests/core/test_scheduler.py
+++ b/packages/pollenkeel-jobs/tests/core/test_scheduler.py
@@ -646,3 +646,20 @@
     for _ in range(12):
         show_latency(site, 75.0)
     assert [task for task in site.running if task.startswith("batch")]
+
+
+def test_tasks_of_an_unknown_image_do_not_all_meet_a_serving_one(clock):
+    """Taken for harmless, five tasks of a new image took a latency to six times its
+    target before anything was learnt.
+    """
+    site = Site(clock, cpu=64_000, memory=640_000)
+    serving = StepSpec(
+        1, Demand(13_000, 100), long_running=True, image="shop", latency_target=100.0
+    )
+    filling = StepSpec(10, Demand(7_000, 100), image="new", fills=True)
+    site.scheduler.add_job(make_job("lasting", steps=(serving,)))
+    site.step()
+    show_latency(site, 50.0)
+    site.scheduler.add_job(make_job("batch", steps=(filling,)))
+    show_latency(site, 50.0)
+    assert 1 <= len([task for task in site.running if task.startswith("batch")]) <= 3
--- a/standins/pollenkeel_standins/shared_vms.py
+++ b/standins/pollenkeel_standins/shared_vms.py
@@ -43,6 +43,8 @@
 _RESTORE_SECONDS = 0.25
 #: Seconds for which a serving task starts up.
 _START_UP_SECONDS = 0.5
+#: Seconds in which a high latency falls by the factor e: the queue has to empty first.
+_DECAY_SECONDS = 0.6
 #: Least idle share of a server; bounds the latency.
 _LEAST_IDLE_SHARE = 0.01
 #: Multiple of the objective up to which a late job still counts, and its worth then.
@@ -98,6 +100,7 @@
     checkpointing: bool
     resumes_at: float
     pace: float = 100.0
+    latency: float = 0.0
     figures: deque[float] = attrs.field(factory=lambda: deque(maxlen=_FIGURES))
 
     @property
@@ -251,7 +254,8 @@
                 load.weight_by_pair[profile.image, image] * use
                 for image, use in use_by_image.items()
             )
-            latency = load.latency(own + added)
+            decayed = run.latency * math.exp(-TICK_SECONDS / _DECAY_SECONDS)
+            latency = run.latency = max(load.latency(own + added), decayed)
             run.figures.append(latency)
             target = profile.latency_target
             over = latency > target and load.latency(own) <= target
