Count the room of runs that a worker still lists for others

At 27.6 s a new leader started some 60 tasks of 0.55 cores on a worker that had room for about 45.

The last one loaded the job as cancelled, so its tasks were not taken over; the worker still ran them, and the stops that their listing caused had not been carried out. What is not in the leader's state was not counted, although it holds its room until it has ended.

Change: a listed run that is not placed on its VM counts with what its step reserves; if its job is not known, the VM gets no starts until the run is gone.

Failing first: test_runs_of_a_cancelled_job_hold_their_room_under_a_new_leader (4 starts instead of 1) and test_a_run_of_an_unknown_job_keeps_its_vm_from_starts.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -24,6 +24,7 @@
 from pollenkeel_jobs.core.metrics import RUNS_ENDED, RUNS_PLACED, WAIT_SECONDS
 from pollenkeel_jobs.core.migration import Migration
 from pollenkeel_jobs.core.model import (
+    Demand,
     Job,
     JobSpec,
     JobStatus,
@@ -272,9 +273,12 @@
         vm.clock = report.clock
         vm.fenced = report.fenced_epoch == self.epoch
         listed = {(run.task_id, run.run) for run in report.running}
+        vm.foreign = Demand()
+        vm.lists_unknown = False
         for running in report.running:
             task = vm.tasks_by_id.get(running.task_id)
             if task is None or task.run != running.run:
+                self._note_foreign(vm, running.task_id)
                 self._stop(vm, running.task_id, running.run, now)
                 continue
             self._jobs.note_started(task.job)
@@ -298,6 +302,15 @@
             withdrawn = {(stop.task_id, stop.run) for stop in report.withdrawn}
             self._find_lost(vm, listed, withdrawn, now)
 
+    def _note_foreign(self, vm: Vm, task_id: str) -> None:
+        """Count what a run holds that is not placed here, until it has ended."""
+        parsed = parse_task_id(task_id)
+        job = self._jobs.find(parsed[0]) if parsed else None
+        if job is None or parsed is None or parsed[1].step >= len(job.spec.steps):
+            vm.lists_unknown = True
+        else:
+            vm.foreign += job.spec.steps[parsed[1].step].reserved
+
     def _find_lost(
         self,
         vm: Vm,
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -45,6 +45,11 @@
         Number of the last end whose effect is recorded.
     slowness : float
         Factor by which tasks run longer than elsewhere.
+    foreign : Demand
+        Resources of listed runs that are not placed here, such as those of a cancelled
+        job that an earlier leader did not stop any more.
+    lists_unknown : bool
+        The worker lists a run of a job that is not known, so that its demand is not.
     fill_use_by_task : dict of str to float
         Processor time that each filling task uses, in thousandths of a core; what it
         declares until there are figures.
@@ -75,6 +80,8 @@
     recorded_through: int = 0
     slowness: float = 1.0
     used: Demand = attrs.field(factory=Demand)
+    foreign: Demand = attrs.field(factory=Demand)
+    lists_unknown: bool = False
     fill_use_by_task: dict[str, float] = attrs.field(factory=dict)
     tasks_by_id: dict[str, Task] = attrs.field(factory=dict)
     serving_cpu: int = 0
@@ -97,8 +104,8 @@
 
     @property
     def free(self) -> Demand:
-        """Capacity that no placed task has reserved."""
-        return self.capacity - self.used
+        """Capacity that no placed task has reserved and no other run still holds."""
+        return self.capacity - self.used - self.foreign
 
     @property
     def cpu_load(self) -> float:
@@ -113,6 +120,7 @@
             bool(self.life)
             and self.fenced
             and not self.draining
+            and not self.lists_unknown
             and self.lease_until > 0
             and now - self.listed_at < FRESH_SECONDS
             and now < self.lapsed_at - _LEASE_NEEDED
--- a/packages/pollenkeel-jobs/tests/core/test_scheduler.py
+++ b/packages/pollenkeel-jobs/tests/core/test_scheduler.py
@@ -8,7 +8,7 @@
 from pollenkeel_jobs.core.advice import Advice
 from pollenkeel_jobs.core.fleet import WORKER_LEASE
 from pollenkeel_jobs.core.harm import HarmModel
-from pollenkeel_jobs.core.messages import OrderOutcome, VmReport
+from pollenkeel_jobs.core.messages import OrderOutcome, RunningTask, VmReport
 from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
 from pollenkeel_jobs.core.names import PROGRESS
 from pollenkeel_jobs.core.records import encode_job
@@ -663,3 +663,42 @@
     site.scheduler.add_job(make_job("batch", steps=(filling,)))
     show_latency(site, 50.0)
     assert 1 <= len([task for task in site.running if task.startswith("batch")]) <= 3
+
+
+def test_runs_of_a_cancelled_job_hold_their_room_under_a_new_leader(clock):
+    """A leader that did not count them started more than the worker holds."""
+    site = Site(clock, cpu=4_000)
+    lasting = StepSpec(1, Demand(3_000, 100), long_running=True)
+    site.scheduler.add_job(make_job("old", steps=(lasting,)))
+    site.step()
+    site.scheduler.cancel_job("old")
+    site.step(record=False)
+    successor = Site(clock, cpu=4_000)
+    cancelled = msgpack.packb(["cancelled", True])
+    old = make_job("old", steps=(lasting,))
+    successor.scheduler.load([(encode_job(old), cancelled)])
+    vm = successor.vms[0]
+    vm.running = list(site.vms[0].running)
+    assert [run.task_id for run in vm.running] == ["old.0.0.0"]
+    successor.scheduler.add_job(
+        make_job("new", steps=(StepSpec(4, Demand(1_000, 100)),))
+    )
+    vm.report()
+    started = successor.scheduler.plan().works
+    assert sum(len(work.starts) for work in started) == 1
+    vm.running = []
+    vm.report()
+    started = successor.scheduler.plan().works
+    assert sum(len(work.starts) for work in started) == 3
+
+
+def test_a_run_of_an_unknown_job_keeps_its_vm_from_starts(clock):
+    """Nobody can tell what it holds, so that any start may be too much."""
+    site = Site(clock, cpu=4_000)
+    site.vms[0].running = [RunningTask("unknown.0.0.0", 1)]
+    site.scheduler.add_job(make_job("new"))
+    site.vms[0].report()
+    assert not [work for work in site.scheduler.plan().works if work.starts]
+    site.vms[0].running = []
+    site.vms[0].report()
+    assert [work for work in site.scheduler.plan().works if work.starts]
