Wait for another upstream while the only known one leaves

Change: the only upstream is skipped until its next announcement, or for the interval in which other agents announce themselves. A request that waits gets the first upstream that is announced. The number of attempts stays the same.

Ruled out: not counting these attempts. An upstream that rejects for long would then be tried without end (test_attempts_are_bounded).

Test: test_request_waits_for_another_upstream_while_the_only_one_leaves failed before ("condition not reached": the request never waited), passes now.

--- a/packages/pollenkeel-entry/src/pollenkeel_entry/requests/router.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/requests/router.py
@@ -186,10 +186,8 @@
                 hint.apply_reply(free_slots)
                 if code is Code.VM_FULL:
                     hint.mark_full(now)
-                elif code in _LEAVING_CODES and self._has_other_upstream(queue, hint):
-                    # Skip the upstream until its next announcement, so that requests
-                    # waiting for others do not use up their attempts here.
-                    hint.leaving = True
+                elif code in _LEAVING_CODES:
+                    self._skip_leaving_upstream(queue, hint, now)
                 elif code in _FAILURE_CODES:
                     hint.suspect_until = now + SUSPECT_SECONDS
                 self._remove_if_expired(queue, agent_id)
@@ -198,6 +196,20 @@
                 queue.mean_seconds += _SAMPLE_WEIGHT * sample
             self._grant(lease.service, queue)
 
+    def _skip_leaving_upstream(
+        self, queue: ServiceQueue, hint: SlotHint, now: float
+    ) -> None:
+        """Skip an upstream that is shutting down until its next announcement.
+
+        Otherwise waiting requests use up their attempts there. An upstream that is the
+        only known one is tried again after the interval in which others announce
+        themselves, in case it has been replaced without an announcement.
+        """
+        if self._has_other_upstream(queue, hint):
+            hint.leaving = True
+        else:
+            hint.blocked_until = now + self._context.settings.timing.heartbeat_interval
+
     def handle_announcement(self, announce: Announce) -> None:
         """Apply an agent's announcement to the estimates of its upstreams."""
         with self._lock:
@@ -343,6 +355,8 @@
             hint.assume_probe_slot(now)
             if hint.free <= 0 or hint.leaving or self._is_silent(agent_id):
                 continue
+            if hint.blocked_until > now:
+                continue
             if not accepts_work(record):
                 continue
             load = UpstreamLoad(agent_id, hint.slots, hint.free, hint.p99_seconds)
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/requests/slots.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/requests/slots.py
@@ -35,6 +35,9 @@
         Time of the next probe while the upstream is assumed to be full.
     suspect_until : float
         Time until which the upstream is avoided after a failure.
+    blocked_until : float
+        Time until which the upstream gets no requests because it rejected one while it
+        was shutting down. Its next announcement ends the block.
     """
 
     slots: int = 0
@@ -44,6 +47,7 @@
     p99_seconds: float = 0.0
     probe_at: float = 0.0
     suspect_until: float = 0.0
+    blocked_until: float = 0.0
 
     @property
     def free(self) -> int:
@@ -52,6 +56,7 @@
 
     def apply_announcement(self, status: UpstreamStatus) -> None:
         """Update from an announcement, whose used slots include this entry's."""
+        self.blocked_until = 0.0
         self.slots = status.slots
         self.foreign = max(0, status.slots - status.free_slots - self.own)
         self.p99_seconds = status.p99_seconds
--- a/packages/pollenkeel-entry/tests/requests/test_router.py
+++ b/packages/pollenkeel-entry/tests/requests/test_router.py
@@ -102,6 +102,23 @@
     assert code(results[0]) is Code.OK
 
 
+def test_request_waits_for_another_upstream_while_the_only_one_leaves(rig, fakes):
+    """Guards against using up all attempts at the only known upstream, which leaves."""
+    leaving = rig.add_agent("a1")
+    leaving.default = lambda a, d: a.refuse(d, Code.UPSTREAM_LEAVING)
+    results = []
+    thread = threading.Thread(
+        target=lambda: results.append(rig.forward("POST", seconds=20))
+    )
+    thread.start()
+    fakes.wait_until(lambda: leaving.dispatches)
+    fakes.wait_until(lambda: rig.context.dump.collect()["router"]["desk"]["waiting"])
+    rig.add_agent("a2")
+    thread.join(10)
+    assert code(results[0]) is Code.OK
+    assert len(leaving.dispatches) == 1
+
+
 def test_wait_for_an_announcement_is_bounded(make_rig):
     """Guards against requests that wait for an upstream until a distant deadline."""
     timing = TimingSettings(heartbeat_interval=0.05, peer_silent_after=0.2)
