Rank the VMs once for a step instead of searching them for each task

The search for tasks to migrate did the same for each starved task, every 0.4 s.

Change: tasks of one step that the policy doesn't tell apart share a heap of VMs, and a placement scores only its own VM again. Gangs and migration use the same. Room is compared without building demands, images of serving tasks are counted as they come and go, and images without tasks are dropped. Placement.score replaces the two steps filter and choose; the choices are the same.

Ruled out: scoring a bounded sample.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gangs.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gangs.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 
+from pollenkeel_jobs.core.candidates import Candidates, make_candidate_key
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.placement import Placement
 from pollenkeel_jobs.core.vms import Vm
@@ -48,13 +49,15 @@
 def _place_members(
     members: list[Task], vms: list[Vm], placement: Placement
 ) -> dict[Task, Vm] | None:
+    ranked = Candidates(members[0], vms, placement)
     chosen: dict[Task, Vm] = {}
     for member in members:
-        vm = placement.choose(member, vms)
+        if make_candidate_key(member, placement) != ranked.key:
+            ranked = Candidates(member, vms, placement)
+        vm = ranked.reserve(member)
         if vm is None:
             for placed, holder in chosen.items():
                 holder.remove(placed)
             return None
-        vm.add(member)
         chosen[member] = vm
     return chosen
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/interference_model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/interference_model.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 
 import attrs
 import logbook
@@ -199,7 +199,7 @@
             for image, model in self._models_by_image.items()
         }
 
-    def pairs(self, serving: set[str], filling: set[str]) -> Iterator[InterferingPair]:
+    def pairs(self, serving: Set[str], filling: Set[str]) -> Iterator[InterferingPair]:
         """Yield the pairs of these images with a weight above zero."""
         for image in sorted(serving):
             for other in sorted(filling):
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/migration.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/migration.py
@@ -4,6 +4,11 @@
 
 from collections.abc import Iterable, Iterator
 
+from pollenkeel_jobs.core.candidates import (
+    CandidateKey,
+    Candidates,
+    make_candidate_key,
+)
 from pollenkeel_jobs.core.model import Task, TaskState
 from pollenkeel_jobs.core.placement import Placement
 from pollenkeel_jobs.core.vms import Vm
@@ -68,6 +73,8 @@
         Each comes with the VM that it runs on.
         """
         usable = list(vms)
+        targets = [vm for vm in usable if vm.cpu_load < _MAX_TARGET_LOAD]
+        targets_by_key: dict[CandidateKey, Candidates] = {}
         moves = 0
         for vm in usable:
             for task in list(vm.tasks_by_id.values()):
@@ -75,14 +82,10 @@
                     return
                 if not _is_starved(task, now):
                     continue
-                targets = [
-                    candidate
-                    for candidate in usable
-                    if candidate is not vm
-                    and candidate.cpu_load < _MAX_TARGET_LOAD
-                    and not self._placement.would_interfere_too_much(task, candidate)
-                ]
-                if self._placement.choose(task, targets) is not None:
+                key = make_candidate_key(task, self._placement)
+                if key not in targets_by_key:
+                    targets_by_key[key] = Candidates(task, targets, self._placement)
+                if targets_by_key[key].has_other_than(vm):
                     moves += 1
                     yield vm, task
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -43,14 +43,6 @@
             self.accelerators - other.accelerators,
         )
 
-    def fits_in(self, free: Demand) -> bool:
-        """Return whether ``free`` is at least this demand."""
-        return (
-            self.cpu <= free.cpu
-            and self.memory <= free.memory
-            and self.accelerators <= free.accelerators
-        )
-
 
 @attrs.frozen
 class StepSpec:
@@ -118,7 +110,10 @@
     @property
     def reserved(self) -> Demand:
         """Resources that a task reserves on its VM."""
-        return attrs.evolve(self.demand, cpu=0) if self.fills else self.demand
+        demand = self.demand
+        if self.fills:
+            return Demand(0, demand.memory, demand.accelerators)
+        return demand
 
 
 @attrs.frozen
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterable, Iterator
+from collections.abc import Hashable, Iterable
 
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.model import Task
@@ -47,38 +47,70 @@
 
 
 class Placement(ABC):
-    """Interface of a placement policy."""
+    """Interface of a placement policy.
+
+    Attributes
+    ----------
+    now : float
+        Time of the current pass, in seconds since the Unix epoch.
+    """
+
+    now: float = 0.0
 
     @abstractmethod
-    def choose(self, task: Task, vms: Iterable[Vm]) -> Vm | None:
-        """Return the VM for a task, or None if it fits none of them."""
+    def score(self, task: Task, vm: Vm) -> float | None:
+        """Return the cost of a VM for a task, or None if the task may not run there.
+
+        It depends on the task's step, on its ``group`` and on the state of this VM.
+        """
 
     @abstractmethod
     def would_interfere_too_much(self, task: Task, vm: Vm) -> bool:
         """Return whether a best-effort task interferes too much with others on a VM."""
 
+    @abstractmethod
+    def group(self, task: Task) -> Hashable:
+        """Return what makes a VM's score differ between tasks of one step."""
+
+    def choose(self, task: Task, vms: Iterable[Vm]) -> Vm | None:
+        """Return the VM with the lowest score, or None if the task fits none of them.
+
+        Of several, the first by name is chosen.
+        """
+        best: tuple[float, str] | None = None
+        chosen = None
+        for vm in vms:
+            score = self.score(task, vm)
+            if score is not None and (best is None or (score, vm.name) < best):
+                best = (score, vm.name)
+                chosen = vm
+        return chosen
+
 
 class LeastLoaded(Placement):
     """Chooses the VM with the smallest load plus penalties for what slows tasks down.
 
-    Attributes
+    Parameters
     ----------
-    now : float
-        Time of the current pass, in seconds since the Unix epoch.
+    interference : InterferenceModel
+        Learned interference between images.
     """
 
     def __init__(self, interference: InterferenceModel) -> None:
         self._interference = interference
-        self.now = 0.0
 
-    def choose(self, task: Task, vms: Iterable[Vm]) -> Vm | None:
-        """Return the VM for a task, or None if it fits none of them."""
-        fitting = _filter_fitting(task, vms)
-        return min(
-            (vm for vm in fitting if not self.would_interfere_too_much(task, vm)),
-            key=lambda vm: (self._score(task, vm), vm.name),
-            default=None,
-        )
+    def group(self, task: Task) -> Hashable:
+        """Return what makes a VM's score differ between tasks of one step."""
+        return self._has_waited_long(task), frozenset(task.failed_on)
+
+    def score(self, task: Task, vm: Vm) -> float | None:
+        """Return the expected load of a VM plus penalties, or None if it has no room.
+
+        The load is a share of the VM's cores.
+        """
+        if not _fits(task, vm) or self.would_interfere_too_much(task, vm):
+            return None
+        return self._score(task, vm)
 
     def _score(self, task: Task, vm: Vm) -> float:
         step = task.step
@@ -109,8 +141,10 @@
         share = self._estimate_headroom_share(task, vm)
         if share <= _MAX_HEADROOM_SHARE:
             return False
-        waited_long = self.now - task.ready_at > _MAX_WAIT_SECONDS
-        return not waited_long or self._has_interfering_tasks(vm)
+        return not self._has_waited_long(task) or self._has_interfering_tasks(vm)
+
+    def _has_waited_long(self, task: Task) -> bool:
+        return self.now - task.ready_at > _MAX_WAIT_SECONDS
 
     def _has_interfering_tasks(self, vm: Vm) -> bool:
         return any(
@@ -149,18 +183,15 @@
         )
 
 
-def _filter_fitting(task: Task, vms: Iterable[Vm]) -> Iterator[Vm]:
+def _fits(task: Task, vm: Vm) -> bool:
+    """Return whether a VM has room for a task and meets its constraints."""
     step = task.step
-    service = task.job.spec.queue.service
-    for vm in vms:
-        if vm.service != service:
-            continue
-        if step.label and step.label not in vm.labels:
-            continue
-        if not step.reserved.fits_in(vm.free):
-            continue
-        if step.fills and vm.cpu_load >= _MAX_BEST_EFFORT_LOAD:
-            continue
-        if step.spread_limit and vm.count_step_tasks(task) >= step.spread_limit:
-            continue
-        yield vm
+    if vm.service != task.job.spec.queue.service:
+        return False
+    if step.label and step.label not in vm.labels:
+        return False
+    if not vm.has_room_for(step.reserved):
+        return False
+    if step.fills and vm.cpu_load >= _MAX_BEST_EFFORT_LOAD:
+        return False
+    return not step.spread_limit or vm.count_step_tasks(task) < step.spread_limit
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -13,6 +13,7 @@
 import logbook
 
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketCache
+from pollenkeel_jobs.core.candidates import Candidates, make_candidate_key
 from pollenkeel_jobs.core.fleet import Fleet
 from pollenkeel_jobs.core.gangs import choose_for_gang
 from pollenkeel_jobs.core.interference_model import InterferenceModel
@@ -616,11 +617,21 @@
             return
         self._placement.now = now
         unplaced_steps: set[tuple[Job, int, int]] = set()
+        candidates: Candidates | None = None
         for task in sorted(self._jobs.ready, key=lambda task: _queue_order(task, now)):
             step = (task.job, task.key.occurrence, task.key.step)
             if step in unplaced_steps or task not in self._jobs.ready:
                 continue
-            if self._place_task(task, self._filter_by_ticket(task, vms), now):
+            if task.step.gang:
+                candidates = None
+                placed = self._place_gang(task, self._filter_by_ticket(task, vms), now)
+            else:
+                key = make_candidate_key(task, self._placement)
+                if candidates is None or candidates.key != key:
+                    advised = self._filter_by_ticket(task, vms)
+                    candidates = Candidates(task, advised, self._placement)
+                placed = self._place_task(task, candidates, now)
+            if placed:
                 continue
             unplaced_steps.add(step)
             if len(unplaced_steps) >= _MAX_UNPLACED_STEPS:
@@ -635,21 +646,23 @@
             self._tickets.request_tickets(task, vms)
         return advised
 
-    def _place_task(self, task: Task, vms: list[Vm], now: float) -> bool:
-        if task.step.gang:
-            members = list_step_tasks(task)
-            chosen = choose_for_gang(members, vms, self._placement)
-            if chosen is None:
-                return False
-            run = max(member.run for member in members) + 1
-            for member, vm in chosen.items():
-                self._record_placement(member, vm, run, now)
-            return True
-        found = self._placement.choose(task, vms)
-        if found is None:
+    def _place_gang(self, task: Task, vms: list[Vm], now: float) -> bool:
+        """Place all members of a task's gang; return False if they do not all fit."""
+        members = list_step_tasks(task)
+        chosen = choose_for_gang(members, vms, self._placement)
+        if chosen is None:
+            return False
+        run = max(member.run for member in members) + 1
+        for member, vm in chosen.items():
+            self._record_placement(member, vm, run, now)
+        return True
+
+    def _place_task(self, task: Task, candidates: Candidates, now: float) -> bool:
+        """Place a task on the best candidate; return False if there is none."""
+        vm = candidates.reserve(task)
+        if vm is None:
             return False
-        found.add(task)
-        self._record_placement(task, found, task.run + 1, now)
+        self._record_placement(task, vm, task.run + 1, now)
         return True
 
     def _record_placement(self, task: Task, vm: Vm, run: int, now: float) -> None:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Set
+
 import attrs
 
 from pollenkeel_jobs.core.messages import TaskProfile
@@ -78,8 +81,11 @@
         until there are measurements.
     serving_cpu : int
         CPU declared by the latency-critical tasks, in thousandths of a core.
+    serving_count_by_image : dict of str to int
+        Number of placed latency-critical tasks of each image.
     best_effort_cpu_by_image : dict of str to int
-        CPU declared by the best-effort tasks of each image, in thousandths of a core.
+        CPU declared by the best-effort tasks of each placed image, in thousandths of a
+        core.
     headroom_at : float
         Time of the last update of ``headroom_by_image``, in seconds since the Unix
         epoch.
@@ -111,16 +117,16 @@
     best_effort_use_by_task: dict[str, float] = attrs.field(factory=dict)
     tasks_by_id: dict[str, Task] = attrs.field(factory=dict)
     serving_cpu: int = 0
-    best_effort_cpu_by_image: dict[str, int] = attrs.field(factory=dict)
+    serving_count_by_image: Counter[str] = attrs.field(factory=Counter)
+    best_effort_cpu_by_image: Counter[str] = attrs.field(factory=Counter)
     headroom_at: float = 0.0
     headroom_by_image: dict[str, float] = attrs.field(factory=dict)
     profiles_by_task: dict[str, TaskProfile] = attrs.field(factory=dict)
 
     @property
-    def serving_images(self) -> set[str]:
+    def serving_images(self) -> Set[str]:
         """Images of the placed tasks that have a latency target."""
-        profiles = self.profiles_by_task.values()
-        return {profile.image for profile in profiles if profile.latency_target}
+        return self.serving_count_by_image.keys()
 
     @property
     def best_effort_images(self) -> set[str]:
@@ -128,10 +134,19 @@
         profiles = self.profiles_by_task.values()
         return {profile.image for profile in profiles if profile.fills}
 
-    @property
-    def free(self) -> Demand:
-        """Capacity that is neither reserved by placed tasks nor held by other runs."""
-        return self.capacity - self.reserved_demand - self.unplaced_demand
+    def has_room_for(self, demand: Demand) -> bool:
+        """Return whether a demand fits beside placed tasks and other runs."""
+        capacity, reserved, other = (
+            self.capacity,
+            self.reserved_demand,
+            self.unplaced_demand,
+        )
+        return (
+            demand.cpu + reserved.cpu + other.cpu <= capacity.cpu
+            and demand.memory + reserved.memory + other.memory <= capacity.memory
+            and demand.accelerators + reserved.accelerators + other.accelerators
+            <= capacity.accelerators
+        )
 
     @property
     def cpu_load(self) -> float:
@@ -167,10 +182,10 @@
         self.reserved_demand += step.reserved
         if step.fills:
             self.best_effort_use_by_task[task.task_id] = step.demand.cpu
-            known = self.best_effort_cpu_by_image.get(step.image, 0)
-            self.best_effort_cpu_by_image[step.image] = known + step.demand.cpu
+            self.best_effort_cpu_by_image[step.image] += step.demand.cpu
         if step.latency_target:
             self.serving_cpu += step.demand.cpu
+            self.serving_count_by_image[step.image] += 1
 
     def remove(self, task: Task) -> None:
         """Remove a task and free its resources; does nothing if it is not here."""
@@ -181,10 +196,17 @@
         self.reserved_demand -= step.reserved
         if step.fills:
             del self.best_effort_use_by_task[task.task_id]
-            left = self.best_effort_cpu_by_image[step.image] - step.demand.cpu
-            self.best_effort_cpu_by_image[step.image] = left
+            _subtract(self.best_effort_cpu_by_image, step.image, step.demand.cpu)
         if step.latency_target:
             self.serving_cpu -= step.demand.cpu
+            _subtract(self.serving_count_by_image, step.image, 1)
+
+
+def _subtract(counts_by_image: Counter[str], image: str, count: int) -> None:
+    """Reduce the count of an image; drop the image once nothing is left."""
+    counts_by_image[image] -= count
+    if counts_by_image[image] <= 0:
+        del counts_by_image[image]
 
 
 def make_profile(task: Task) -> TaskProfile:
