Prefer entries with much more processor capacity as leader

The first one that finds the lease free gets it, so after the end of a leader 17 of the 35 entries of the large fleet, each too small for 400 reports a second, are as likely.

Change: entries state their capacity (share of a core times its speed, from the settings) when they ask the holder whether it leads. A leader hands over to an entry with at least 1.5 times its own, at most once in 20 s, and never while a write is open, since the successor acquires on condition that the row is unchanged. The epoch of the old leader ends before it answers, so its later writes and orders are dropped. An entry that knows of a larger leader leaves a free lease alone for 0.7 s longer. Entries of one size do as before.

Ruled out: measured load or write delay as capacity. Both depend on who leads now, and would need hysteresis of their own. A VM that becomes slow is therefore not noticed.

Old and new processes side by side: an old one rejects the query with the new field and counts as leading, so that hand-overs to new entries wait until it is replaced.

Tests: seven in test_leadership.py and one in test_entry.py with two entries; all need the new argument, so none runs on the code before.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -51,6 +51,9 @@
         ``tcp://IP:PORT`` at which other processes reach it.
     hand_over_seconds : float
         Longest time that a stopping leader waits for a successor, in seconds.
+    cpu : float
+        Processor capacity of the process, in cores; 0 if unknown. Entries with much
+        more capacity than others are preferred as leader.
     """
 
     id: str
@@ -58,6 +61,7 @@
     peer_address: str
     advertised_address: str
     hand_over_seconds: float = 5.0
+    cpu: float = 0.0
 
 
 class Entry:
@@ -92,7 +96,7 @@
         self._tables = tables
         self._clock = clock
         self._leadership = Leadership(
-            settings.id, settings.advertised_address, tables, clock
+            settings.id, settings.advertised_address, tables, clock, settings.cpu
         )
         self._contact = LeaderContact(settings.id, self._leadership, clock)
         self.gateway = Gateway(settings.id, tables, self._contact, clock)
@@ -183,15 +187,23 @@
             self._clock.now(),
             leader.epoch,
             self._settings.advertised_address,
+            self._settings.cpu,
         )
         reply = self._contact.ask(query, _LEADER_QUERY_SECONDS)
-        return not isinstance(reply, LeaderQueryReply) or reply.leads
+        if not isinstance(reply, LeaderQueryReply):
+            return True
+        self._leadership.record_leader_cpu(reply.cpu)
+        return reply.leads
 
     def _handle(self, message: Message) -> Message:
         if isinstance(message, LeaderQuery):
             self._standby_seen_at = self._clock.now()
-            leads = not self._leadership.yield_lease(message.epoch, message.address)
-            return LeaderQueryReply(self._settings.id, self._clock.now(), leads)
+            leads = not self._leadership.yield_lease(
+                message.epoch, message.address, message.cpu
+            )
+            return LeaderQueryReply(
+                self._settings.id, self._clock.now(), leads, self._settings.cpu
+            )
         term = self._contact.term
         reply = None
         if term is not None and not term.over.is_set():
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -47,6 +47,16 @@
 _YIELD_AFTER_SECONDS = 0.5
 #: Delay before a failed write is retried, in seconds.
 _RETRY_INTERVAL = 0.1
+#: Ratio of processor capacity from which an entry is preferred as leader. A change of
+#: the leader delays work, so small differences do not count.
+_PREFERRED_CPU_RATIO = 1.5
+#: Seconds for which an entry leaves a free lease to entries with more capacity.
+_PREFERRED_ENTRY_SECONDS = 0.7
+#: Seconds between two hand-overs by one process to entries with more capacity.
+_HAND_OVER_INTERVAL = 20.0
+#: Seconds for which a process that has handed over does not acquire the lease, so that
+#: its successor can.
+_SUCCESSOR_SECONDS = 1.5
 
 
 @attrs.frozen
@@ -100,11 +110,15 @@
         Service that stores the lease row.
     clock : Clock
         Source of time.
+    cpu : float
+        Processor capacity of this process, in cores; 0 if unknown.
     retry_interval : float
         Delay before a failed write is retried, in seconds.
 
     Attributes
     ----------
+    cpu : float
+        Processor capacity of this process, in cores; 0 if unknown.
     epoch : int
         Fencing token of the current term; 0 while this process does not lead.
     write_seconds : float
@@ -119,8 +133,13 @@
         address: str,
         tables: TableService,
         clock: Clock,
+        cpu: float = 0.0,
         retry_interval: float = _RETRY_INTERVAL,
     ) -> None:
+        self.cpu = cpu
+        self._highest_leader_cpu = 0.0
+        self._next_hand_over_at = 0.0
+        self._no_acquisition_until = 0.0
         self._retry_interval = retry_interval
         self._holder = f"{holder}/{time.time_ns()}"
         self._address = address
@@ -191,21 +210,62 @@
             limit = TAKEOVER_SECONDS - _RECOVERY_GRACE_SECONDS
             self._last_change_at = now - min(waited, limit)
         self._read_failed = False
-        leader = self.leader
-        free = row is None or (
-            leader is not None
-            and (not leader.address or self._is_previous_incarnation(leader))
-        )
+        if now < self._no_acquisition_until:
+            return False
+        if self._is_denied_by_holder(ask, now):
+            return self._acquire(version)
         unchanged = began - self._last_change_at
-        if not free and leader is not None and now >= self._next_query_at:
-            self._next_query_at = now + _HOLDER_QUERY_INTERVAL
-            free = not ask(leader)
-        if free or unchanged > TAKEOVER_SECONDS:
+        if self._is_available(row, unchanged):
             return self._acquire(version)
         return False
 
-    def yield_lease(self, epoch: int, successor: str) -> bool:
-        """Give up the lease to ``successor`` if this process cannot write.
+    def _is_denied_by_holder(
+        self, ask: Callable[[LeaseRecord], bool], now: float
+    ) -> bool:
+        """Return whether the holder replies that it does not lead.
+
+        It is asked at most once in ``_HOLDER_QUERY_INTERVAL``.
+        """
+        leader = self.leader
+        if leader is None or not leader.address or now < self._next_query_at:
+            return False
+        if self._is_previous_incarnation(leader):
+            return False
+        self._next_query_at = now + _HOLDER_QUERY_INTERVAL
+        return not ask(leader)
+
+    def _is_available(self, row: Row | None, unchanged: float) -> bool:
+        """Return whether this entry may acquire the lease.
+
+        Parameters
+        ----------
+        row : Row or None
+            The lease row.
+        unchanged : float
+            Seconds since the row was seen to change.
+        """
+        leader = self.leader
+        if row is None:
+            return True
+        if leader is not None and self._is_previous_incarnation(leader):
+            return True
+        delay = 0.0
+        if self._is_much_less_than(self._highest_leader_cpu):
+            delay = _PREFERRED_ENTRY_SECONDS
+        if leader is not None and not leader.address:
+            return unchanged >= delay
+        return unchanged > TAKEOVER_SECONDS + delay
+
+    def _is_much_less_than(self, cpu: float) -> bool:
+        """Return whether an entry with this capacity is preferred as leader."""
+        return self.cpu > 0.0 and cpu >= self.cpu * _PREFERRED_CPU_RATIO
+
+    def record_leader_cpu(self, cpu: float) -> None:
+        """Record the processor capacity that a leader has stated, in cores."""
+        self._highest_leader_cpu = max(self._highest_leader_cpu, cpu)
+
+    def yield_lease(self, epoch: int, successor: str, cpu: float = 0.0) -> bool:
+        """Give up the lease if this process cannot write or the successor is preferred.
 
         Parameters
         ----------
@@ -214,6 +274,8 @@
         successor : str
             Address of the asking entry, which reaches the table service and acquires
             the lease if the result is True.
+        cpu : float
+            Processor capacity of the successor, in cores; 0 if unknown.
 
         Returns
         -------
@@ -222,18 +284,40 @@
         """
         if self.epoch != epoch:
             return True
+        now = self._clock.now()
         failing = self._failing_since
-        if failing and self._clock.now() - failing > _YIELD_AFTER_SECONDS:
-            log_change(
-                logger, "lease given up to an entry that can write", address=successor
-            )
-            self.epoch = 0
-            # This process cannot read the lease row, so it records the successor's
-            # address here.
-            self.leader = LeaseRecord(0, successor, successor, 0)
+        if failing and now - failing > _YIELD_AFTER_SECONDS:
+            self._give_up(successor, "this process cannot write")
             return True
+        if self._is_much_less_than(cpu) and now >= self._next_hand_over_at:
+            return self._hand_over(successor, cpu, now)
         return False
 
+    def _hand_over(self, successor: str, cpu: float, now: float) -> bool:
+        """Give up the lease to an entry with more capacity unless a write is open.
+
+        The successor acquires the lease on condition that its row is unchanged, which
+        an open write would break.
+        """
+        if not self._lock.acquire(blocking=False):
+            return False
+        try:
+            self._next_hand_over_at = now + _HAND_OVER_INTERVAL
+            self._no_acquisition_until = now + _SUCCESSOR_SECONDS
+            self._give_up(successor, f"it has {cpu:.2f} cores, this one {self.cpu:.2f}")
+        finally:
+            self._lock.release()
+        return True
+
+    def _give_up(self, successor: str, cause: str) -> None:
+        log_change(
+            logger, "lease given up to another entry", address=successor, cause=cause
+        )
+        self.epoch = 0
+        # This process may not be able to read the lease row, so it records the
+        # successor's address here.
+        self.leader = LeaseRecord(0, successor, successor, 0)
+
     def _is_previous_incarnation(self, leader: LeaseRecord) -> bool:
         """Return whether the holder is a previous, ended process with the same id."""
         return leader.holder.rpartition("/")[0] == self._holder.rpartition("/")[0]
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -319,8 +319,8 @@
 class LeaderQuery(Message):
     """Asks the holder of the lease whether it leads.
 
-    The sender has just reached the table service. A leader that cannot write to the
-    table service gives up its lease to the sender.
+    The sender has just reached the table service. A leader gives up its lease to the
+    sender if it cannot write to the table service, or has much less processor capacity.
 
     Attributes
     ----------
@@ -328,17 +328,21 @@
         Term that the sender asks about.
     address : str
         Address at which the sender receives messages.
+    cpu : float
+        Processor capacity of the sender, in cores; 0 if unknown.
     """
 
     epoch: int
     address: str = ""
+    cpu: float = 0.0
 
 
 @attrs.frozen
 class LeaderQueryReply(Message):
-    """Whether the process leads in the term of the query."""
+    """Whether the process leads in the term of the query, and its capacity in cores."""
 
     leads: bool
+    cpu: float = 0.0
 
 
 @attrs.frozen
--- a/packages/pollenkeel-jobs/tests/core/test_entry.py
+++ b/packages/pollenkeel-jobs/tests/core/test_entry.py
@@ -21,10 +21,10 @@
         return known
 
 
-def start_entry(tables, name, port, stop):
+def start_entry(tables, name, port, stop, cpu=0.0):
     feed = OperationsFeed("op", tables, UnchangedOperations(), CLOCK)
     address = f"tcp://127.0.0.1:{port}"
-    settings = NodeSettings(name, "z1", address, address, 2.0)
+    settings = NodeSettings(name, "z1", address, address, 2.0, cpu)
     entry = Entry(settings, tables, feed, CLOCK, UnusedAdviceService())
     thread = threading.Thread(target=entry.run, args=(stop,), daemon=True)
     thread.start()
@@ -60,3 +60,16 @@
     thread.join(6.0)
     assert not thread.is_alive()
     entry.close()
+
+
+def test_entry_with_much_more_capacity_takes_over_from_a_small_one(tables, free_ports):
+    """Guards against a fleet that a small entry leads because it started first."""
+    stop = threading.Event()
+    small, _ = start_entry(tables, "entry-1", free_ports[0], stop, 0.3)
+    wait_until(lambda: small._leadership.leads, 5.0)
+    large, _ = start_entry(tables, "entry-2", free_ports[1], stop, 2.0)
+    wait_until(lambda: large._leadership.leads, 5.0)
+    assert not small._leadership.leads
+    stop.set()
+    small.close()
+    large.close()
--- a/packages/pollenkeel-jobs/tests/core/test_leadership.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leadership.py
@@ -145,3 +145,93 @@
     second.observe(ask)
     first.resign()
     assert second.observe(ask)
+
+
+def make_sized_leadership(tables, clock, name, cpu):
+    return Leadership(name, f"tcp://{name}", tables, clock, cpu)
+
+
+def test_leader_hands_over_to_an_entry_with_much_more_capacity(tables, clock, ask):
+    """Guards against a small VM that leads a large fleet although others could."""
+    small = make_sized_leadership(tables, clock, "small", 0.3)
+    large = make_sized_leadership(tables, clock, "large", 2.0)
+    assert small.observe(ask)
+    epoch = small.epoch
+    assert large.observe(lambda leader: not small.yield_lease(epoch, "large", 2.0))
+    assert large.epoch > epoch
+    assert not small.leads
+    with pytest.raises(LeadershipLost):
+        small.commit(write())
+    assert (LEADER_PARTITION, PROGRESS, "j1") not in tables.rows_by_key
+
+
+@pytest.mark.parametrize("cpu", [0.0, 0.3, 0.4])
+def test_leader_keeps_its_lease_beside_similar_entries(tables, clock, ask, cpu):
+    """Guards against changes of the leader that gain nothing."""
+    leader = make_sized_leadership(tables, clock, "entry-1", 0.3)
+    leader.observe(ask)
+    assert not leader.yield_lease(leader.epoch, "entry-2", cpu)
+    assert leader.leads
+
+
+def test_hand_over_leaves_the_lease_to_the_successor(tables, clock, ask):
+    """Guards against a former leader that takes its own lease back at once."""
+    small = make_sized_leadership(tables, clock, "small", 0.3)
+    small.observe(ask)
+    assert small.yield_lease(small.epoch, "large", 2.0)
+    clock.advance(0.3)
+    assert not small.observe(ask)
+    # The successor could not write.
+    clock.advance(2.0)
+    assert small.observe(ask)
+    assert not small.yield_lease(small.epoch, "large", 2.0)
+
+
+def test_no_hand_over_while_a_write_is_open(tables, clock, ask):
+    """Guards against a successor whose acquisition conflicts with an open write."""
+    small = make_sized_leadership(tables, clock, "small", 0.3)
+    small.observe(ask)
+    transact = tables.transact
+    replies = []
+
+    def ask_during_the_write(transaction, timeout=1.0):
+        replies.append(small.yield_lease(small.epoch, "large", 2.0))
+        return transact(transaction, timeout)
+
+    tables.transact = ask_during_the_write
+    small.commit(write())
+    assert replies == [False]
+    assert small.leads
+
+
+def test_small_entry_leaves_a_free_lease_to_larger_ones(tables, clock, ask):
+    """Guards against a small entry that is the first to notice a free lease."""
+    large = make_sized_leadership(tables, clock, "large", 2.0)
+    small = make_sized_leadership(tables, clock, "small", 0.3)
+    other = make_sized_leadership(tables, clock, "other", 2.0)
+    large.observe(ask)
+    small.record_leader_cpu(2.0)
+    other.record_leader_cpu(2.0)
+    assert not small.observe(ask)
+    large.resign()
+    assert not small.observe(ask)
+    assert other.observe(ask)
+    clock.advance(0.1)
+    assert not small.observe(ask)
+    other.resign()
+    assert not small.observe(ask)
+    clock.advance(1.0)
+    assert small.observe(ask)
+
+
+def test_small_entry_takes_over_if_no_larger_one_does(tables, clock, ask):
+    """Guards against a fleet without a leader once its large entries are gone."""
+    large = make_sized_leadership(tables, clock, "large", 2.0)
+    small = make_sized_leadership(tables, clock, "small", 0.3)
+    large.observe(ask)
+    small.record_leader_cpu(2.0)
+    small.observe(ask)
+    clock.advance(TAKEOVER_SECONDS + 0.1)
+    assert not small.observe(ask)
+    clock.advance(1.0)
+    assert small.observe(ask)
