Keep the covariance of the regression in rows

Change: weights and covariance are lists, indexed by feature, and an update builds rows. The operations and their order are the same, so the matrix stays symmetric: a first version that divided earlier did not, and test_regression.py failed on it.

Tests of regression, interference and sharing pass.

--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/policy/regression.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/policy/regression.py
@@ -1,12 +1,13 @@
 """Recursive least squares over named features, in plain Python.
 
-numpy would add about 30 MB to the memory of every agent, and these models have fewer
-than 20 features.
+numpy would add about 30 MB to the memory of every agent, and these models have some
+tens of features. The time of an update grows with the square of their number.
 """
 
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
 #: Lower limit for variances; rounding errors could make them zero or negative.
 _MIN_VARIANCE = 1e-9
@@ -27,12 +28,14 @@
     def __init__(self, forgetting: float, uncertainty: float = 10.0) -> None:
         self._forgetting = forgetting
         self._uncertainty = uncertainty
-        self._weights_by_name: dict[str, float] = {}
-        self._covariance: dict[tuple[str, str], float] = {}
+        self._index_by_name: dict[str, int] = {}
+        self._weights: list[float] = []
+        self._covariance: list[list[float]] = []
 
     def weight(self, name: str) -> float:
         """Return the weight of a feature; 0 if the feature is unknown."""
-        return self._weights_by_name.get(name, 0.0)
+        index = self._index_by_name.get(name)
+        return 0.0 if index is None else self._weights[index]
 
     def set_weight(self, name: str, weight: float, uncertainty: float) -> None:
         """Set a known weight of a feature as the starting point.
@@ -46,9 +49,10 @@
         uncertainty : float
             Variance of that weight.
         """
-        self._add_features({name: 0.0})
-        self._weights_by_name[name] = weight
-        self._covariance[name, name] = uncertainty
+        self._add_features([name])
+        index = self._index_by_name[name]
+        self._weights[index] = weight
+        self._covariance[index][index] = uncertainty
 
     def update(self, features: dict[str, float], value: float) -> None:
         """Update the model with one observation.
@@ -61,42 +65,53 @@
             Observed value.
         """
         self._add_features(features)
-        names = list(self._weights_by_name)
-        active = [(name, x) for name, x in features.items() if x != 0.0]
-        gain_by_name = {
-            row: sum(self._covariance[row, name] * x for name, x in active)
-            for row in names
-        }
-        scale = self._forgetting + sum(x * gain_by_name[name] for name, x in active)
-        error = value - sum(self._weights_by_name[name] * x for name, x in active)
-        for row in names:
-            self._weights_by_name[row] += gain_by_name[row] / scale * error
-        for row in names:
-            for column in names:
-                reduced = gain_by_name[row] * gain_by_name[column] / scale
-                updated = (self._covariance[row, column] - reduced) / self._forgetting
-                self._covariance[row, column] = updated
-        for name in names:
-            self._bound_variance(name, names)
-
-    def _add_features(self, features: dict[str, float]) -> None:
+        active = [(self._index_by_name[n], x) for n, x in features.items() if x != 0.0]
+        gains = [sum(row[i] * x for i, x in active) for row in self._covariance]
+        scale = self._forgetting + sum(x * gains[i] for i, x in active)
+        error = value - sum(self._weights[i] * x for i, x in active)
+        self._weights = [
+            weight + gain / scale * error
+            for weight, gain in zip(self._weights, gains, strict=True)
+        ]
+        self._covariance = [
+            self._update_row(row, gain, gains, scale)
+            for row, gain in zip(self._covariance, gains, strict=True)
+        ]
+        for index in range(len(gains)):
+            self._bound_variance(index)
+
+    def _update_row(
+        self, row: list[float], gain: float, gains: list[float], scale: float
+    ) -> list[float]:
+        """Return a row of the covariance after an observation.
+
+        The order of the operations keeps the matrix exactly symmetric.
+        """
+        forgetting = self._forgetting
+        return [
+            (covariance - gain * other / scale) / forgetting
+            for covariance, other in zip(row, gains, strict=True)
+        ]
+
+    def _add_features(self, features: Iterable[str]) -> None:
         for name in features:
-            if name not in self._weights_by_name:
-                for other in self._weights_by_name:
-                    self._covariance[name, other] = 0.0
-                    self._covariance[other, name] = 0.0
-                self._weights_by_name[name] = 0.0
-                self._covariance[name, name] = self._uncertainty
-
-    def _bound_variance(self, name: str, names: list[str]) -> None:
+            if name not in self._index_by_name:
+                self._index_by_name[name] = len(self._weights)
+                self._weights.append(0.0)
+                for row in self._covariance:
+                    row.append(0.0)
+                self._covariance.append([0.0] * len(self._weights))
+                self._covariance[-1][-1] = self._uncertainty
+
+    def _bound_variance(self, index: int) -> None:
         # Forgetting would let the variance of a constant feature grow without limit.
         # Row and column are scaled together, because clipping single entries makes
         # the matrix indefinite, and the weights then diverge.
-        variance = self._covariance[name, name]
-        if variance > self._uncertainty:
-            scale = math.sqrt(self._uncertainty / variance)
-            for other in names:
-                self._covariance[name, other] *= scale
-                self._covariance[other, name] *= scale
-        elif variance < _MIN_VARIANCE:
-            self._covariance[name, name] = _MIN_VARIANCE
+        row = self._covariance[index]
+        if row[index] > self._uncertainty:
+            scale = math.sqrt(self._uncertainty / row[index])
+            self._covariance[index] = [covariance * scale for covariance in row]
+            for other in self._covariance:
+                other[index] *= scale
+        elif row[index] < _MIN_VARIANCE:
+            row[index] = _MIN_VARIANCE
