Measure runs in windows in the stand-in of shared VMs

Now a figure is that of the last complete window, and other short runs can end on the VMs (short_ends_per_second).

--- a/benchmarks/best_effort_tasks.py
+++ b/benchmarks/best_effort_tasks.py
@@ -27,6 +27,7 @@
     ),
     "few heavy images": LoadSettings(heavy_share=0.2),
     "one resource": LoadSettings(resources=1),
+    "desk, short runs": LoadSettings(short_ends_per_second=8.0),
 }
 
 
--- a/standins/pollenkeel_standins/shared_vms.py
+++ b/standins/pollenkeel_standins/shared_vms.py
@@ -14,7 +14,6 @@
 
 import math
 import random
-from collections import deque
 from collections.abc import Iterator
 
 import attrs
@@ -37,7 +36,8 @@
 
 #: Length of one simulation step in seconds.
 TICK_SECONDS = 0.1
-#: Window in seconds over which the measurements of a run are averaged.
+#: Window in seconds over which a run is measured. The worker lists the figure of the
+#: last complete window.
 _MEASUREMENT_SECONDS = 0.5
 #: Interval in seconds at which an agent polls its worker.
 _POLL_SECONDS = 0.4
@@ -104,8 +104,9 @@
     """State of one run.
 
     ``work`` and ``done`` are in seconds at full speed, ``pace`` is the cap on the speed
-    in percent. ``measurements`` holds the recent latencies of a latency-critical task
-    (in milliseconds) or the cores used by a best-effort one (in thousandths).
+    in percent. ``measurements`` holds the latencies of a latency-critical task (in
+    milliseconds) or the cores used by a best-effort one (in thousandths) since the
+    start of the window, and ``figure`` the noisy mean of the last complete one.
     """
 
     order: StartOrder
@@ -115,9 +116,15 @@
     resumes_at: float
     pace: float = 100.0
     latency: float = 0.0
-    measurements: deque[float] = attrs.field(
-        factory=lambda: deque(maxlen=_MEASUREMENT_COUNT)
-    )
+    measurements: list[float] = attrs.field(factory=list)
+    figure: float = 0.0
+
+    def end_window(self, noise_rng: random.Random) -> None:
+        """Update ``figure`` from the values of the window that ends."""
+        if self.measurements:
+            mean = sum(self.measurements) / len(self.measurements)
+            self.figure = round(mean * noise_rng.gauss(1.0, 0.04))
+            self.measurements.clear()
 
     @property
     def profile(self) -> TaskProfile:
@@ -184,6 +191,7 @@
         self._harms: list[InterferingPair] = []
         self._disturbed_by_task: dict[str, float] = {}
         self._poll_at = 0.0
+        self._window_steps = fleet.noise_rng.randrange(_MEASUREMENT_COUNT)
         self.used = 0.0
         self.vm = fleet.scheduler.add_vm(name, "tcp://nowhere")
 
@@ -241,7 +249,12 @@
         runs = list(self._runs_by_id.values())
         core_share_by_image = self._advance_best_effort(runs, now)
         self._advance_serving(runs, core_share_by_image, now, serving_time)
-        if now >= self._poll_at:
+        self._window_steps += 1
+        if self._window_steps == _MEASUREMENT_COUNT:
+            self._window_steps = 0
+            for run in self._runs_by_id.values():
+                run.end_window(self._fleet.noise_rng)
+        if now >= self._poll_at or self._fleet.draw_end_of_short_run():
             self._poll_at = now + _POLL_SECONDS
             self.poll()
 
@@ -335,14 +348,9 @@
         percent = 100
         if not run.profile.latency_target:
             percent = int(100 * run.done / run.work)
-        measurement = (
-            sum(run.measurements) / len(run.measurements) if run.measurements else 0.0
-        )
-        noise = self._fleet.noise_rng.gauss(1.0, 0.04)
-        measurement = round(measurement * noise)
         order = run.order
         return RunningTask(
-            order.task_id, order.run, run.latest_checkpoint, percent, measurement
+            order.task_id, order.run, run.latest_checkpoint, percent, run.figure
         )
 
     def _make_report(self, running: list[RunningTask]) -> VmReport:
@@ -422,6 +430,9 @@
         image is sensitive to one of them and each best-effort image loads one.
     heavy_share : float
         Share of the best-effort images that load their resource heavily.
+    short_ends_per_second : float
+        Rate at which other short runs end on each VM. Each end makes the agent poll its
+        worker, without a new measurement.
     seconds, submit_seconds : float
         Duration of the simulation and of its phase of job arrivals, each counted from
         the first arrival.
@@ -441,6 +452,7 @@
     width: float = 8.0
     resources: int = 2
     heavy_share: float = 0.55
+    short_ends_per_second: float = 0.0
     seconds: float = 46.0
     submit_seconds: float = 34.0
 
@@ -462,6 +474,7 @@
         # A separate generator, so that the number of measurements does not influence
         # the jobs that are drawn.
         self.noise_rng = random.Random(seed)
+        self._ends_rng = random.Random(seed)
         self._rng = random.Random(seed)
         self.settings = settings
         self.clock = ManualClock()
@@ -487,6 +500,11 @@
         """Return the run time of a task at full speed; infinite for a serving task."""
         return self._work_by_task.get(task_id, math.inf)
 
+    def draw_end_of_short_run(self) -> bool:
+        """Return whether a short run of another job ends on a VM in this step."""
+        rate = self.settings.short_ends_per_second
+        return bool(rate) and self._ends_rng.random() < rate * TICK_SECONDS
+
     def simulate(self) -> list[JobResult]:
         """Run the simulation and return the results of the best-effort jobs."""
         for number in range(self.settings.serving_jobs):
