Keep malformed input to the request or the row that it comes from

Looked for: one malformed message or unexpected error takes a process down (users' list).

- A job row whose step follows itself or a later one, or with values of other types, was decoded, and then raised in the table of jobs: the feed's thread ended, and a leader that loaded the row ended its process, and so did the next one. decode_job now checks what the scheduler relies on; the row is left out with a log line.
- A malformed route, or any error in decoding the operators' rows, ended the thread of the feed at every entry; nothing starts once the rows are 4 s old.
- Any unexpected error in a term ended the entry with its clients' requests.
The leader now resigns and serves on.
- An error in sending orders ended the thread of the VM, which then got no orders.

Not provoked: the threads that ask for advice and read members.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import attrs
+import logbook
 
 from pollenkeel_jobs.core.advice import AdviceService
 from pollenkeel_jobs.core.contact import LeaderContact
@@ -23,6 +24,8 @@
 from pollenkeel_kernel.core.messages import ErrorReply, Message
 from pollenkeel_kernel.core.transport import ReplyServer
 
+logger = logbook.Logger("entry")
+
 #: Seconds between reads of the lease row.
 _LEASE_POLL_SECONDS = 0.3
 #: Timeout for the lease holder's reply to the query whether it leads, in seconds.
@@ -170,8 +173,15 @@
             target=self._watch_operations, args=(term,), name="zones", daemon=True
         )
         watcher.start()
-        term.run(stop)
-        self._contact.term = None
+        try:
+            term.run(stop)
+        except Exception:
+            # Clients are served on; this or another entry starts the next term.
+            logger.exception("term ended by an unexpected error")
+            self._leadership.resign()
+        finally:
+            term.over.set()
+            self._contact.term = None
 
     def _watch_operations(self, term: Term) -> None:
         """Pass the operator configuration to the scheduler until the term ends."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -122,9 +122,17 @@
                 self._work = OrderBatch(self._vm)
             silent = self._term.clock.now() - self._vm.heard_at > _KEEPALIVE_SECONDS
             if work.starts or work.stops or silent:
-                self._send(work)
+                self._try_to_send(work)
         self._peer.close()
 
+    def _try_to_send(self, work: OrderBatch) -> None:
+        """Send orders; an unexpected error must not end the thread of the VM."""
+        try:
+            self._send(work)
+        except Exception:
+            logger.exception("orders not sent", extra={"vm": self._vm.name})
+            self._term.scheduler.drop_orders(self._vm, work.starts)
+
     def _send(self, work: OrderBatch) -> None:
         """Send orders to the agent and pass the outcomes to the scheduler."""
         term = self._term
@@ -370,16 +378,21 @@
             after = max(after, found.version)
 
     def apply_row(self, job_id: str, row: bytes) -> None:
-        """Add a stored job, or cancel the job if ``row`` is empty."""
-        if not row:
-            self.scheduler.cancel_job(job_id)
-            return
+        """Add a stored job, or cancel the job if ``row`` is empty.
+
+        An unexpected error affects this job alone, so that the feed goes on.
+        """
         try:
-            self.scheduler.add_job(decode_job(row))
+            if row:
+                self.scheduler.add_job(decode_job(row))
+            else:
+                self.scheduler.cancel_job(job_id)
         except RecordError as error:
             logger.error(
                 "job row cannot be decoded", extra={"job": job_id, "cause": str(error)}
             )
+        except Exception:
+            logger.exception("job row cannot be applied", extra={"job": job_id})
 
     def _poll_members(self) -> None:
         """Add the VMs of the member table until the term ends."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
@@ -137,7 +137,11 @@
         if not changed:
             return
         before = self.current
-        self.current = self._decoder.decode(self._rows_by_key.values(), before)
+        try:
+            self.current = self._decoder.decode(self._rows_by_key.values(), before)
+        except Exception:
+            # Rows may come from any writer. The configuration in force stays.
+            logger.exception("operators' rows cannot be decoded")
         if self.current != before:
             log_change(
                 logger,
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+import math
+from typing import Any, cast
 
 import attrs
 import msgpack
@@ -43,17 +44,49 @@
     """
     try:
         _, job_id, queue, payload, steps, times = msgpack.unpackb(value)
-        return JobSpec(
+        spec = JobSpec(
             job_id,
             QueuePolicy(*queue),
             payload,
             tuple(_decode_step(step) for step in steps),
             *times,
         )
+        _check_job(spec)
+        return spec
     except Exception as error:
         raise RecordError(f"job row: {error}") from error
 
 
+def _check_job(spec: JobSpec) -> None:
+    """Raise ValueError if the scheduler cannot work with a job."""
+    _check_count("occurrences", spec.occurrences, 0)
+    _check_seconds("first_at", spec.first_at)
+    _check_seconds("interval", spec.interval)
+    for number, step in enumerate(spec.steps):
+        _check_count("count", step.count, 1)
+        _check_count("cpu", step.demand.cpu, 0)
+        _check_count("memory", step.demand.memory, 0)
+        _check_count("accelerators", step.demand.accelerators, 0)
+        _check_count("spread_limit", step.spread_limit, 0)
+        _check_seconds("estimate", step.estimate)
+        _check_seconds("latency_target", step.latency_target)
+        if not all(type(i) is int and 0 <= i < number for i in step.after):
+            raise ValueError(
+                f"after of step {number} is {step.after!r:.40}; "
+                "expected indexes of prior steps"
+            )
+
+
+def _check_count(name: str, value: object, least: int) -> None:
+    if type(value) is not int or value < least:
+        raise ValueError(f"{name} is {value!r:.40}; expected an integer >= {least}")
+
+
+def _check_seconds(name: str, value: object) -> None:
+    if type(value) not in (int, float) or not 0 <= cast(float, value) < math.inf:
+        raise ValueError(f"{name} is {value!r:.40}; expected a finite number >= 0")
+
+
 def encode_progress(job: Job) -> bytes:
     """Return the row value of a job's progress.
 
--- a/packages/pollenkeel-jobs/tests/core/test_entry.py
+++ b/packages/pollenkeel-jobs/tests/core/test_entry.py
@@ -4,6 +4,7 @@
 
 from pollenkeel_jobs.core.advice import AdviceService
 from pollenkeel_jobs.core.entry import Entry, NodeSettings
+from pollenkeel_jobs.core.leader import Term
 from pollenkeel_jobs.core.operations import OperationsDecoder, OperationsFeed
 from pollenkeel_kernel.core.clock import SystemClock
 from pollenkeel_standins.processes import wait_until
@@ -73,3 +74,25 @@
     stop.set()
     small.close()
     large.close()
+
+
+def test_unexpected_error_in_a_term_does_not_end_the_process(
+    tables, free_ports, monkeypatch
+):
+    """Guards against an entry that serves no clients because a pass failed."""
+    stop = threading.Event()
+    terms = []
+
+    def fail_once(term, stop):
+        terms.append(term)
+        if len(terms) == 1:
+            raise KeyError("unexpected")
+        stop.wait(5.0)
+
+    monkeypatch.setattr(Term, "run", fail_once)
+    entry, thread = start_entry(tables, "entry-1", free_ports[0], stop)
+    wait_until(lambda: len(terms) > 1, 5.0)
+    assert thread.is_alive()
+    assert terms[0].over.is_set()
+    stop.set()
+    entry.close()
--- a/packages/pollenkeel-jobs/tests/core/test_leader.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leader.py
@@ -13,8 +13,14 @@
     JOBS,
     get_intake_partition,
 )
+from pollenkeel_jobs.core.operations import (
+    Operations,
+    OperationsDecoder,
+    OperationsFeed,
+)
 from pollenkeel_jobs.core.records import encode_job
 from pollenkeel_jobs.core.tables import RowWrite, Transaction
+from pollenkeel_standins.processes import wait_until
 
 
 @pytest.fixture
@@ -58,3 +64,43 @@
     )
     term._load(threading.Event())
     assert all(term.scheduler.find_status(job_id) for job_id in job_ids)
+
+
+class FlakyDecoder(OperationsDecoder):
+    """Decoder that fails for the row ``bad``."""
+
+    def decode(self, rows, known):
+        if any(row.key == "bad" for row in rows):
+            raise ValueError("bad row")
+        return Operations(known.version + 1, (), frozenset())
+
+
+def test_operators_row_that_cannot_be_decoded_is_left_out(tables, clock):
+    """Guards against a feed that ends with the first row that it can't decode."""
+    feed = OperationsFeed("op", tables, FlakyDecoder(), clock)
+    bad = RowWrite("op", "bad", b"x")
+    tables.apply(Transaction("", (), (bad,)))
+    stop = threading.Event()
+    thread = threading.Thread(target=feed.run, args=(stop,), daemon=True)
+    thread.start()
+    wait_until(lambda: feed.confirmed_at > 0, 5.0)
+    assert feed.current.version == 0
+    tables.apply(Transaction("", (), (RowWrite("op", "bad", None),)))
+    wait_until(lambda: feed.current.version > 0, 5.0)
+    stop.set()
+    thread.join(5.0)
+
+
+def test_row_that_cannot_be_applied_does_not_end_the_feed(term, tables, monkeypatch):
+    """Guards against jobs that are missed because of one that comes before them."""
+    add_job = term.scheduler.add_job
+
+    def fail_for_bad(spec):
+        if spec.job_id == "bad":
+            raise KeyError("bad")
+        add_job(spec)
+
+    monkeypatch.setattr(term.scheduler, "add_job", fail_for_bad)
+    term.apply_row("bad", encode_job(make_job("bad")))
+    term.apply_row("good", encode_job(make_job("good")))
+    assert term.scheduler.find_status("good") is not None
--- a/packages/pollenkeel-jobs/tests/core/test_records.py
+++ b/packages/pollenkeel-jobs/tests/core/test_records.py
@@ -69,3 +69,21 @@
         decode_job(row)
     with pytest.raises(RecordError):
         decode_status(row)
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        StepSpec(1, Demand(1, 1), after=(5,)),
+        StepSpec(1, Demand(1, 1), after=(0,)),
+        StepSpec(0, Demand(1, 1)),
+        StepSpec("two", Demand(1, 1)),
+        StepSpec(1, Demand("one", 1)),
+        StepSpec(1, Demand(1, 1), estimate=float("nan")),
+    ],
+)
+def test_job_that_cannot_be_scheduled_is_rejected(step):
+    """Guards against a row that ends each process that becomes leader."""
+    job = make_job(steps=[step])
+    with pytest.raises(RecordError):
+        decode_job(encode_job(job))
