Move the placing of waiting tasks out of the scheduler

The order of the queue, the candidates of a step and gangs are now in ready_queue.py, which yields placements that the scheduler records.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -13,9 +13,7 @@
 import logbook
 
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketCache
-from pollenkeel_jobs.core.candidates import Candidates, make_candidate_key
 from pollenkeel_jobs.core.fleet import Fleet
-from pollenkeel_jobs.core.gangs import choose_for_gang
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
 from pollenkeel_jobs.core.messages import (
@@ -47,6 +45,7 @@
     update_headroom,
     update_run,
 )
+from pollenkeel_jobs.core.ready_queue import Placed, ReadyQueue
 from pollenkeel_jobs.core.records import encode_progress
 from pollenkeel_jobs.core.speed import VmSpeeds
 from pollenkeel_jobs.core.stops import StopOrderQueue
@@ -65,8 +64,6 @@
 _MIGRATION_INTERVAL = 0.4
 #: Seconds between two writes of the learned interference weights.
 _WEIGHTS_WRITE_INTERVAL = 4.0
-#: Number of steps without a fitting VM after which a pass over the queue ends.
-_MAX_UNPLACED_STEPS = 12
 
 
 class Scheduler:
@@ -102,6 +99,7 @@
         self._stops = StopOrderQueue()
         self._interference = interference
         self._placement = LeastLoaded(self._interference)
+        self._queue = ReadyQueue(self._jobs, self._tickets, self._placement)
         self._migration = Migration(self._placement)
         self._speeds = VmSpeeds()
         self._next_migration_at = 0.0
@@ -610,74 +608,24 @@
                     ends.vm.recorded_through = ends.through
 
     def _place_ready_tasks(self) -> None:
-        """Place waiting tasks; a step of which one task does not fit is skipped."""
         now = self._clock.now()
         vms = self._fleet.usable()
-        if not vms:
-            return
-        self._placement.now = now
-        unplaced_steps: set[tuple[Job, int, int]] = set()
-        candidates: Candidates | None = None
-        for task in sorted(self._jobs.ready, key=lambda task: _queue_order(task, now)):
-            step = (task.job, task.key.occurrence, task.key.step)
-            if step in unplaced_steps or task not in self._jobs.ready:
-                continue
-            if task.step.gang:
-                candidates = None
-                placed = self._place_gang(task, self._filter_by_ticket(task, vms), now)
-            else:
-                key = make_candidate_key(task, self._placement)
-                if candidates is None or candidates.key != key:
-                    advised = self._filter_by_ticket(task, vms)
-                    candidates = Candidates(task, advised, self._placement)
-                placed = self._place_task(task, candidates, now)
-            if placed:
-                continue
-            unplaced_steps.add(step)
-            if len(unplaced_steps) >= _MAX_UNPLACED_STEPS:
-                return
-
-    def _filter_by_ticket(self, task: Task, vms: list[Vm]) -> list[Vm]:
-        """Return the VMs for which the task has a ticket, or all if it needs none."""
-        if not task.job.spec.queue.advised:
-            return vms
-        advised = [vm for vm in vms if self._tickets.find(task, vm)]
-        if not advised:
-            self._tickets.request_tickets(task, vms)
-        return advised
-
-    def _place_gang(self, task: Task, vms: list[Vm], now: float) -> bool:
-        """Place all members of a task's gang; return False if they do not all fit."""
-        members = list_step_tasks(task)
-        chosen = choose_for_gang(members, vms, self._placement)
-        if chosen is None:
-            return False
-        run = max(member.run for member in members) + 1
-        for member, vm in chosen.items():
-            self._record_placement(member, vm, run, now)
-        return True
-
-    def _place_task(self, task: Task, candidates: Candidates, now: float) -> bool:
-        """Place a task on the best candidate; return False if there is none."""
-        vm = candidates.reserve(task)
-        if vm is None:
-            return False
-        self._record_placement(task, vm, task.run + 1, now)
-        return True
+        for placed in self._queue.place(vms, now):
+            self._record_placement(placed, now)
 
-    def _record_placement(self, task: Task, vm: Vm, run: int, now: float) -> None:
-        """Record a placement; the VM has already reserved the task's resources."""
+    def _record_placement(self, placed: Placed, now: float) -> None:
+        task, vm = placed.task, placed.vm
         del self._jobs.ready[task]
         task.reset_run()
         task.state = TaskState.PLACED
-        task.run = run
+        task.run = placed.run
         task.runner = vm.incarnation
         task.placed_at = now
         task.order_deadline = float("inf")
         task.ticket = self._tickets.find(task, vm)
         self._fleet.quarantine.started(vm.incarnation, now)
         self._jobs.dirty[task.job] = None
-        self._unsent_starts.append(PlannedStart(task, run))
+        self._unsent_starts.append(PlannedStart(task, placed.run))
         RUNS_PLACED.inc()
         WAIT_SECONDS.observe(now - task.ready_at)
         log_change(
@@ -717,14 +665,3 @@
             )
             task.stop_wanted = True
             self._stop(vm, task.task_id, task.run, now)
-
-
-def _queue_order(task: Task, now: float) -> tuple[int, bool, float, str]:
-    """Return the sort key of a waiting task; the smallest is placed first.
-
-    Within a priority, jobs that can still meet their objective come first, in the order
-    of their objectives. The others are late whatever is done.
-    """
-    job = task.job
-    late = now > job.objective_at
-    return (job.spec.queue.priority, late, job.objective_at, task.task_id)
