Confirm no operators' rows that can't be decoded; say so before the lease is held

(1) After a decoding error the feed went on to confirm the configuration of before as current, although the rows may close a data centre. It is no longer confirmed, so nothing starts until the rows can be decoded. (2) An entry without the lease that is asked about epoch 0, as a former leader does that knows its successor only by address, replied that it leads.

The in-memory tables of the tests returned a newer version than that of the rows if a write came between; pages are now read under a lock.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -282,7 +282,7 @@
         bool
             True if this process does not lead in ``epoch``, or has just given it up.
         """
-        if self.epoch != epoch:
+        if not self.holds_lease or self.epoch != epoch:
             return True
         now = self._clock.now()
         failing = self._failing_since
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
@@ -99,6 +99,7 @@
         self._decoder = decoder
         self._clock = clock
         self._rows_by_key: dict[str, Row] = {}
+        self._has_undecoded_rows = False
         self.current = Operations()
         self.confirmed_at = 0.0
 
@@ -121,8 +122,9 @@
             if after < 0:
                 self._rows_by_key.clear()
             self._apply_rows(found.rows, after < 0)
-            # An empty reply also confirms that there were no further changes.
-            self.confirmed_at = began
+            if not self._has_undecoded_rows:
+                # An empty reply also confirms that there were no further changes.
+                self.confirmed_at = began
             after = max(after, found.version)
 
     def _apply_rows(self, rows: Iterable[Row], is_full_read: bool) -> None:
@@ -139,8 +141,11 @@
         before = self.current
         try:
             self.current = self._decoder.decode(self._rows_by_key.values(), before)
+            self._has_undecoded_rows = False
         except Exception:
-            # Rows may come from any writer. The configuration in force stays.
+            # Rows may come from any writer. A data centre may be closed by the changes,
+            # so the configuration in force is not confirmed, and no task starts.
+            self._has_undecoded_rows = True
             logger.exception("operators' rows cannot be decoded")
         if self.current != before:
             log_change(
--- a/packages/pollenkeel-jobs/tests/core/test_leader.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leader.py
@@ -75,18 +75,18 @@
         return Operations(known.version + 1, (), frozenset())
 
 
-def test_operators_row_that_cannot_be_decoded_is_left_out(tables, clock):
-    """Guards against a feed that ends with the first row that it can't decode."""
+def test_feed_goes_on_after_a_row_that_cannot_be_decoded(tables, clock):
+    """Guards against a feed that ends, and against starts without the latest rows."""
     feed = OperationsFeed("op", tables, FlakyDecoder(), clock)
-    bad = RowWrite("op", "bad", b"x")
-    tables.apply(Transaction("", (), (bad,)))
+    tables.apply(Transaction("", (), (RowWrite("op", "bad", b"x"),)))
     stop = threading.Event()
     thread = threading.Thread(target=feed.run, args=(stop,), daemon=True)
     thread.start()
-    wait_until(lambda: feed.confirmed_at > 0, 5.0)
-    assert feed.current.version == 0
+    wait_until(lambda: feed._has_undecoded_rows, 5.0)
+    assert feed.confirmed_at == 0.0
     tables.apply(Transaction("", (), (RowWrite("op", "bad", None),)))
     wait_until(lambda: feed.current.version > 0, 5.0)
+    wait_until(lambda: feed.confirmed_at > 0, 5.0)
     stop.set()
     thread.join(5.0)
 
--- a/packages/pollenkeel-jobs/tests/core/test_leadership.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leadership.py
@@ -235,3 +235,12 @@
     assert not small.observe(ask)
     clock.advance(1.0)
     assert small.observe(ask)
+
+
+def test_entry_that_has_not_acquired_the_lease_says_so(tables, clock):
+    """Guards against waiting for a successor that could not acquire the lease.
+
+    A former leader records its successor without an epoch.
+    """
+    successor = make_sized_leadership(tables, clock, "large", 2.0)
+    assert successor.yield_lease(0, "tcp://small", 0.3)
--- a/packages/pollenkeel-jobs/tests/jobs_doubles.py
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -1,6 +1,7 @@
 """Test doubles: in-memory table service, VMs that report to a scheduler, fixtures."""
 
 import socket
+import threading
 
 import attrs
 import pytest
@@ -30,6 +31,8 @@
 
     def __init__(self, clock=None):
         self.clock = clock
+        # A page has the rows of a single version.
+        self._lock = threading.RLock()
         self.rows_by_key = {}
         self.version = 0
         self.faults = []
@@ -49,6 +52,10 @@
         return Err(Failure(FailureKind.UNKNOWN)) if fault == "lost" else result
 
     def apply(self, transaction):
+        with self._lock:
+            return self._apply(transaction)
+
+    def _apply(self, transaction):
         part = transaction.partition
         for condition in transaction.conditions:
             row = self.rows_by_key.get((part, condition.table, condition.key))
@@ -65,6 +72,10 @@
     def read(self, partition, table, start="", end=""):
         if self.reads_fail:
             return Err(Failure(FailureKind.NOT_DONE))
+        with self._lock:
+            return self._read(partition, table, start, end)
+
+    def _read(self, partition, table, start, end):
         rows = sorted(
             (
                 row
@@ -79,12 +90,13 @@
         return Ok(Page(tuple(rows), self.version))
 
     def watch(self, table, after, wait):
-        rows = [
-            row
-            for (_, name, _), row in list(self.rows_by_key.items())
-            if name == table and row.version > after
-        ]
-        return Ok(Page(tuple(rows), self.version))
+        with self._lock:
+            rows = [
+                row
+                for (_, name, _), row in list(self.rows_by_key.items())
+                if name == table and row.version > after
+            ]
+            return Ok(Page(tuple(rows), self.version))
 
 
 class VmDouble:
