--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -93,13 +93,16 @@
     def usable(self) -> list[Vm]:
         """Return the VMs that may receive starts."""
         now = self._clock.now()
-        return [
-            vm
-            for vm in self._vms_by_name.values()
-            if vm.is_usable(now)
-            and self.is_open(vm.zone)
-            and self.quarantine.allowed(vm.incarnation, now)
-        ]
+        return [vm for vm in self.vms() if not self.find_obstacle(vm, now)]
+
+    def find_obstacle(self, vm: Vm, now: float) -> str:
+        """Return why a VM may receive no starts, or an empty string if it may."""
+        obstacle = vm.find_obstacle(now)
+        if not obstacle and not self.is_open(vm.zone):
+            return "closed data centre"
+        if not obstacle and not self.quarantine.allowed(vm.incarnation, now):
+            return "quarantine"
+        return obstacle
 
     def begin_incarnation(self, vm: Vm, incarnation: str) -> list[Task]:
         """Replace the incarnation of a VM's worker.
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
@@ -113,12 +113,23 @@
                 logger,
                 "job not accepted",
                 job=spec.job_id,
+                queue=spec.queue.name,
+                cpu_seconds=round(spec.cpu_seconds, 1),
+                best_effort=spec.best_effort,
                 code=result.err_value.code.value,
                 cause=result.err_value.detail,
             )
             return result
         JOBS_SUBMITTED.labels(Code.OK.value).inc()
-        log_change(logger, "job accepted", job=spec.job_id, new=result.ok_value)
+        log_change(
+            logger,
+            "job accepted",
+            job=spec.job_id,
+            new=result.ok_value,
+            queue=spec.queue.name,
+            cpu_seconds=round(spec.cpu_seconds, 1),
+            best_effort=spec.best_effort,
+        )
         if result.ok_value:
             self._queue_notice(
                 JobNotice(self._name, self._clock.now(), spec.job_id, row)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -180,6 +180,19 @@
     first_at: float = 0.0
     interval: float = 0.0
 
+    @property
+    def cpu_seconds(self) -> float:
+        """Declared work of one occurrence, in core-seconds."""
+        milli = 1000.0
+        return sum(
+            step.count * step.estimate * step.demand.cpu / milli for step in self.steps
+        )
+
+    @property
+    def best_effort(self) -> bool:
+        """Whether the job has best-effort tasks."""
+        return any(step.fills for step in self.steps)
+
     def longest_chain(self) -> float:
         """Return the declared run time of the longest chain of steps, in seconds."""
         ends: list[float] = []
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -64,6 +64,10 @@
         It depends on the task's step, on its ``group`` and on the state of this VM.
         """
 
+    @abstractmethod
+    def find_obstacle(self, task: Task, vm: Vm) -> str:
+        """Return why a task may not run on a VM, or an empty string if it may."""
+
     @abstractmethod
     def would_interfere_too_much(self, task: Task, vm: Vm) -> bool:
         """Return whether a best-effort task interferes too much with others on a VM."""
@@ -108,9 +112,14 @@
 
         The load is a share of the VM's cores.
         """
-        if not _fits(task, vm) or self.would_interfere_too_much(task, vm):
-            return None
-        return self._score(task, vm)
+        return None if self.find_obstacle(task, vm) else self._score(task, vm)
+
+    def find_obstacle(self, task: Task, vm: Vm) -> str:
+        """Return why a task may not run on a VM, or an empty string if it may."""
+        obstacle = _find_unmet_demand(task, vm)
+        if not obstacle and self.would_interfere_too_much(task, vm):
+            obstacle = "interference"
+        return obstacle
 
     def _score(self, task: Task, vm: Vm) -> float:
         step = task.step
@@ -183,15 +192,17 @@
         )
 
 
-def _fits(task: Task, vm: Vm) -> bool:
-    """Return whether a VM has room for a task and meets its constraints."""
+def _find_unmet_demand(task: Task, vm: Vm) -> str:
+    """Return what a VM lacks for a task, or an empty string."""
     step = task.step
     if vm.service != task.job.spec.queue.service:
-        return False
+        return "service"
     if step.label and step.label not in vm.labels:
-        return False
+        return "label"
     if not vm.has_room_for(step.reserved):
-        return False
+        return "room"
     if step.fills and vm.cpu_load >= _MAX_BEST_EFFORT_LOAD:
-        return False
-    return not step.spread_limit or vm.count_step_tasks(task) < step.spread_limit
+        return "load"
+    if step.spread_limit and vm.count_step_tasks(task) >= step.spread_limit:
+        return "spread limit"
+    return ""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -40,11 +40,17 @@
         Tickets of the advice service.
     placement : Placement
         Policy that chooses the VMs.
+
+    Attributes
+    ----------
+    unplaced : list of Task
+        One task of each step that found no VM in the latest pass.
     """
 
     def __init__(
         self, jobs: JobTable, tickets: TicketCache, placement: Placement
     ) -> None:
+        self.unplaced: list[Task] = []
         self._jobs = jobs
         self._tickets = tickets
         self._placement = placement
@@ -62,8 +68,7 @@
         now : float
             Current time in seconds since the Unix epoch.
         """
-        if not vms:
-            return
+        self.unplaced = []
         self._placement.now = now
         unplaced_steps: set[tuple[Job, int, int]] = set()
         candidates: Candidates | None = None
@@ -81,6 +86,7 @@
                 yield from placements
                 continue
             unplaced_steps.add(step)
+            self.unplaced.append(task)
             if len(unplaced_steps) >= _MAX_UNPLACED_STEPS:
                 return
 
@@ -98,7 +104,7 @@
         if not task.job.spec.queue.advised:
             return vms
         advised = [vm for vm in vms if self._tickets.find(task, vm)]
-        if not advised:
+        if vms and not advised:
             self._tickets.request_tickets(task, vms)
         return advised
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -51,6 +51,7 @@
 from pollenkeel_jobs.core.stops import StopOrderQueue
 from pollenkeel_jobs.core.tables import RowWrite
 from pollenkeel_jobs.core.vms import Vm, make_profile
+from pollenkeel_jobs.core.wait_log import WaitLog
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.logs import log_change
 
@@ -102,6 +103,7 @@
         self._queue = ReadyQueue(self._jobs, self._tickets, self._placement)
         self._migration = Migration(self._placement)
         self._speeds = VmSpeeds()
+        self._wait_log = WaitLog()
         self._next_migration_at = 0.0
         self._next_weights_write_at = 0.0
 
@@ -612,6 +614,15 @@
         vms = self._fleet.usable()
         for placed in self._queue.place(vms, now):
             self._record_placement(placed, now)
+        self._wait_log.record(
+            self._queue.unplaced,
+            self._fleet.vms(),
+            lambda task, vm: (
+                self._fleet.find_obstacle(vm, now)
+                or self._placement.find_obstacle(task, vm)
+            ),
+            now,
+        )
 
     def _record_placement(self, placed: Placed, now: float) -> None:
         task, vm = placed.task, placed.vm
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -157,17 +157,21 @@
             1, self.capacity.cpu
         )
 
-    def is_usable(self, now: float) -> bool:
-        """Return whether the VM may receive starts."""
-        return (
-            bool(self.incarnation)
-            and self.fenced
-            and not self.draining
-            and not self.has_unknown_runs
-            and self.lease_until > 0
-            and now - self.listed_at < REPORT_VALID_SECONDS
-            and now < self.leases_expired_at - _MIN_LEASE_SECONDS
-        )
+    def find_obstacle(self, now: float) -> str:
+        """Return why the VM may receive no starts, or an empty string if it may."""
+        if not self.incarnation:
+            return "no worker"
+        if not self.fenced:
+            return "not fenced"
+        if self.draining:
+            return "draining"
+        if self.has_unknown_runs:
+            return "unknown runs"
+        if now - self.listed_at >= REPORT_VALID_SECONDS:
+            return "no recent report"
+        if not self.lease_until or now >= self.leases_expired_at - _MIN_LEASE_SECONDS:
+            return "lease"
+        return ""
 
     def count_step_tasks(self, task: Task) -> int:
         """Return how many tasks of the given task's step are placed here."""
--- /dev/null
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/wait_log.py
@@ -0,0 +1,79 @@
+"""Log lines that say why the tasks of a step wait for a VM."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+import logbook
+
+from pollenkeel_jobs.core.model import Task
+from pollenkeel_jobs.core.vms import Vm
+from pollenkeel_kernel.core.logs import log_change
+
+logger = logbook.Logger("scheduler")
+
+#: Seconds for which a task waits before a line is written.
+_MIN_WAIT_SECONDS = 1.0
+#: Seconds between two lines on the same step.
+_REPEAT_INTERVAL = 2.0
+
+#: Position of a step: job id, occurrence and index.
+_StepKey = tuple[str, int, int]
+
+
+class WaitLog:
+    """Writes at most one line per step and ``_REPEAT_INTERVAL``.
+
+    Not thread-safe; the scheduler's lock protects it.
+    """
+
+    def __init__(self) -> None:
+        self._next_line_at_by_step: dict[_StepKey, float] = {}
+
+    def record(
+        self,
+        waiting: Iterable[Task],
+        vms: Iterable[Vm],
+        find_obstacle: Callable[[Task, Vm], str],
+        now: float,
+    ) -> None:
+        """Log the number of VMs by what keeps each waiting task from them.
+
+        Parameters
+        ----------
+        waiting : iterable of Task
+            One task of each step that found no VM.
+        vms : iterable of Vm
+            All VMs.
+        find_obstacle : callable
+            Returns why a task may not run on a VM.
+        now : float
+            Current time in seconds since the Unix epoch.
+        """
+        self._forget_old_steps(now)
+        for task in waiting:
+            step = (task.job.spec.job_id, task.key.occurrence, task.key.step)
+            if now - task.ready_at < _MIN_WAIT_SECONDS:
+                continue
+            if now < self._next_line_at_by_step.get(step, 0.0):
+                continue
+            self._next_line_at_by_step[step] = now + _REPEAT_INTERVAL
+            counts = Counter(find_obstacle(task, vm) or "none" for vm in vms)
+            log_change(
+                logger,
+                "step waits",
+                task=task.task_id,
+                waited=round(now - task.ready_at, 2),
+                best_effort=task.step.fills,
+                obstacles=dict(counts),
+            )
+
+    def _forget_old_steps(self, now: float) -> None:
+        ended = [
+            step
+            for step, next_line_at in self._next_line_at_by_step.items()
+            if now - next_line_at > _REPEAT_INTERVAL
+        ]
+        for step in ended:
+            del self._next_line_at_by_step[step]
