Keep the time of acceptance with the job, for the objective under a new leader

Class of fault: state that decides an order kept in memory only.

The entry writes the time of acceptance into the first field of the job's row, which earlier versions wrote as 1 and did not read; rows of both kinds are read by both. An entry's clock that is ahead counts as now.

The stand-in can now close data centres, let all leases lapse and change the leader.

With Job(spec, now) put back, test_new_leader_does_not_take_a_late_job_for_a_new_one fails: ['late.0.0.0'] in place of ['fresh.0.0.0'].

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
@@ -105,7 +105,7 @@
             will be, ``WRITE_UNKNOWN`` (3006) if that is not known. Submitting a stored
             job again succeeds.
         """
-        row = encode_job(spec)
+        row = encode_job(attrs.evolve(spec, accepted_at=self._clock.now()))
         result = self._writer.write(RelayedRow(JOBS, spec.job_id, row, 0), deadline)
         if isinstance(result, Err):
             JOBS_SUBMITTED.labels(result.err_value.code.value).inc()
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
@@ -57,7 +57,7 @@
         """
         for job_row, progress_row in rows:
             try:
-                job = Job(decode_job(job_row), self._clock.now())
+                job = self._make_job(decode_job(job_row))
                 if progress_row is not None:
                     apply_progress(job, progress_row)
             except RecordError as error:
@@ -72,7 +72,15 @@
         if spec.job_id in self._jobs_by_id:
             return
         log_change(logger, "job taken", job=spec.job_id, queue=spec.queue.name)
-        self._insert(Job(spec, self._clock.now()))
+        self._insert(self._make_job(spec))
+
+    def _make_job(self, spec: JobSpec) -> Job:
+        """Return a job that counts from its acceptance, but not from the future.
+
+        The clock of the entry that accepted it may be ahead.
+        """
+        now = self._clock.now()
+        return Job(spec, min(spec.accepted_at or now, now))
 
     def find(self, job_id: str) -> Job | None:
         """Return the job with this id, or None."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -170,6 +170,9 @@
         Due time of the first occurrence in seconds since the Unix epoch.
     interval : float
         Seconds between due times.
+    accepted_at : float
+        Time at which an entry received the job, in seconds since the Unix epoch by the
+        entry's clock; 0 if it is not known.
     """
 
     job_id: str
@@ -179,6 +182,7 @@
     occurrences: int = 0
     first_at: float = 0.0
     interval: float = 0.0
+    accepted_at: float = 0.0
 
     @property
     def cpu_seconds(self) -> float:
@@ -344,9 +348,8 @@
     started : bool
         Whether a task of the job has started.
     accepted_at : float
-        Time at which this process received the job, in seconds since the Unix epoch.
-        Not persisted: a new leader sets it when it loads the job, so ``objective_at``
-        is later after a change of leader.
+        Time at which an entry received the job, or this process if that is not known;
+        in seconds since the Unix epoch.
     objective_at : float
         Time by which the job should be done, by its declared run times, in seconds
         since the Unix epoch.
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
@@ -26,12 +26,16 @@
 def encode_job(spec: JobSpec) -> bytes:
     """Return the row value of a submitted job.
 
-    The first field is constant and ignored when decoding.
+    The first field is the time of acceptance. Earlier versions wrote 1 there.
     """
     steps = [_encode_step(step) for step in spec.steps]
     queue = attrs.astuple(spec.queue)
     times = [spec.occurrences, spec.first_at, spec.interval]
-    return bytes(msgpack.packb([1, spec.job_id, queue, spec.payload, steps, times]))
+    return bytes(
+        msgpack.packb(
+            [spec.accepted_at, spec.job_id, queue, spec.payload, steps, times]
+        )
+    )
 
 
 def decode_job(value: bytes) -> JobSpec:
@@ -43,13 +47,17 @@
         If the row is malformed.
     """
     try:
-        _, job_id, queue, payload, steps, times = msgpack.unpackb(value)
+        accepted_at, job_id, queue, payload, steps, times = msgpack.unpackb(value)
+        occurrences, first_at, interval = times
         spec = JobSpec(
             job_id,
             QueuePolicy(*queue),
             payload,
             tuple(_decode_step(step) for step in steps),
-            *times,
+            occurrences,
+            first_at,
+            interval,
+            0.0 if accepted_at == 1 else accepted_at,
         )
         _check_job(spec)
         return spec
@@ -62,6 +70,7 @@
     _check_count("occurrences", spec.occurrences, 0)
     _check_seconds("first_at", spec.first_at)
     _check_seconds("interval", spec.interval)
+    _check_seconds("accepted_at", spec.accepted_at)
     for number, step in enumerate(spec.steps):
         _check_count("count", step.count, 1)
         _check_count("cpu", step.demand.cpu, 0)
--- a/packages/pollenkeel-jobs/tests/core/test_gateway.py
+++ b/packages/pollenkeel-jobs/tests/core/test_gateway.py
@@ -10,6 +10,7 @@
 from pollenkeel_jobs.core.messages import JobQueryReply, RelayWrite, RelayWriteReply
 from pollenkeel_jobs.core.model import JobStatus
 from pollenkeel_jobs.core.names import JOBS, get_intake_partition
+from pollenkeel_jobs.core.records import decode_job
 from pollenkeel_jobs.core.tables import Condition, RowWrite, Transaction
 from pollenkeel_kernel import Code, Refusal
 from pollenkeel_kernel.core.clock import ManualClock
@@ -119,3 +120,11 @@
     gateway = Gateway("entry-1", tables, relay, CLOCK)
     assert gateway.submit(make_job(), near_deadline()).is_ok()
     assert relay.relayed == 0
+
+
+def test_row_of_an_accepted_job_has_the_time_of_acceptance(gateway, tables):
+    """Guards against objectives that each new leader counts anew."""
+    before = CLOCK.now()
+    gateway.submit(make_job(), near_deadline()).unwrap()
+    row = tables.read_row(get_intake_partition("j1"), JOBS, "j1").unwrap()
+    assert before <= decode_job(row.value).accepted_at <= CLOCK.now()
--- a/packages/pollenkeel-jobs/tests/core/test_records.py
+++ b/packages/pollenkeel-jobs/tests/core/test_records.py
@@ -1,5 +1,6 @@
 """Tests of the encoding of rows of the table service."""
 
+import msgpack
 import pytest
 from jobs_doubles import make_job
 
@@ -34,10 +35,17 @@
 
 def test_job_round_trips():
     """A field missing from the row would change the job under the next leader."""
-    spec = make_job(steps=(STEP, StepSpec(1, Demand(1, 1), after=(0,))))
+    steps = (STEP, StepSpec(1, Demand(1, 1), after=(0,)))
+    spec = make_job(steps=steps, accepted_at=1764900000.5)
     assert decode_job(encode_job(spec)) == spec
 
 
+def test_row_of_an_earlier_version_has_no_time_of_acceptance():
+    """Earlier versions wrote the constant 1 in place of the time."""
+    fields = msgpack.unpackb(encode_job(make_job(accepted_at=1764900000.5)))
+    assert decode_job(msgpack.packb([1, *fields[1:]])) == make_job()
+
+
 def test_progress_round_trips():
     """Guards against runs, failures and checkpoints lost in a change of leader."""
     job = Job(make_job(), 1.0)
--- a/packages/pollenkeel-jobs/tests/core/test_scheduler.py
+++ b/packages/pollenkeel-jobs/tests/core/test_scheduler.py
@@ -8,6 +8,7 @@
 from pollenkeel_jobs.core.advice import Advice
 from pollenkeel_jobs.core.fleet import WORKER_LEASE
 from pollenkeel_jobs.core.interference_model import InterferenceModel
+from pollenkeel_jobs.core.job_table import JobTable
 from pollenkeel_jobs.core.messages import OrderOutcome, RunningTask, VmReport
 from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
 from pollenkeel_jobs.core.names import PROGRESS
@@ -385,6 +386,24 @@
     assert site.running == ["fresh.0.0.0"]
 
 
+def test_new_leader_does_not_take_a_late_job_for_a_new_one(clock):
+    """Guards against late jobs that delay others after each change of the leader."""
+    step = StepSpec(1, Demand(1000, 1000), estimate=2.0)
+    late = make_job("late", steps=(step,), stretch=1.0, accepted_at=clock.now() - 3.0)
+    fresh = make_job("fresh", steps=(step,), stretch=2.0, accepted_at=clock.now())
+    site = Site(clock, cpu=1000)
+    site.scheduler.load((encode_job(job), None) for job in (late, fresh))
+    site.step()
+    assert site.running == ["fresh.0.0.0"]
+
+
+def test_acceptance_by_a_clock_that_is_ahead_counts_from_now(clock):
+    """The clocks of two entries differ."""
+    table = JobTable(clock)
+    table.add(make_job("j1", accepted_at=clock.now() + 5.0))
+    assert table.find("j1").accepted_at == clock.now()
+
+
 def test_lease_is_not_extended_without_leadership(site):
     """Guards against worker leases granted by a leader that may have been replaced."""
     assert site.vms[0].report(may_grant_lease=False).lease_until == 0
--- a/packages/pollenkeel-jobs/tests/jobs_doubles.py
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -217,11 +217,11 @@
         return sorted(run.task_id for vm in self.vms for run in vm.running)
 
 
-def make_job(job_id="j1", steps=None, **policy):
+def make_job(job_id="j1", steps=None, accepted_at=0.0, **policy):
     """Return a job of one step with two tasks unless told otherwise."""
     steps = steps or (StepSpec(2, Demand(1000, 1000), 1.0),)
     queue = QueuePolicy("q", "desk", **{"attempts": 2, "stretch": 2.0, **policy})
-    return JobSpec(job_id, queue, "run 1", tuple(steps))
+    return JobSpec(job_id, queue, "run 1", tuple(steps), accepted_at=accepted_at)
 
 
 @pytest.fixture
--- a/standins/pollenkeel_standins/shared_vms.py
+++ b/standins/pollenkeel_standins/shared_vms.py
@@ -29,8 +29,10 @@
     VmReport,
 )
 from pollenkeel_jobs.core.model import Demand, JobSpec, QueuePolicy, StepSpec
+from pollenkeel_jobs.core.names import PROGRESS
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.pacing import PaceController
+from pollenkeel_jobs.core.records import encode_job
 from pollenkeel_jobs.core.scheduler import Scheduler
 from pollenkeel_kernel.core.clock import ManualClock
 
@@ -168,6 +170,8 @@
         Id of the VM.
     cores : int
         Capacity in thousandths of a core.
+    zone : str
+        Data centre of the VM.
     fleet : SharedFleet
         Fleet that the VM belongs to.
 
@@ -179,8 +183,9 @@
         The scheduler's record of the VM.
     """
 
-    def __init__(self, name: str, cores: int, fleet: SharedFleet) -> None:
+    def __init__(self, name: str, cores: int, zone: str, fleet: SharedFleet) -> None:
         self.name = name
+        self._zone = zone
         self.cores = cores
         self._fleet = fleet
         self._runs_by_id: dict[tuple[str, int], _Run] = {}
@@ -228,6 +233,11 @@
             final_checkpoint = str(run.done) if run.checkpointing and run.done else ""
             self._end(run, "stopped", final_checkpoint)
 
+    def lapse(self) -> None:
+        """End all runs because the worker's lease has lapsed."""
+        for run in list(self._runs_by_id.values()):
+            self._end(run, "lapsed", run.latest_checkpoint)
+
     def _end(self, run: _Run, outcome: str, final_checkpoint: str) -> None:
         del self._runs_by_id[run.order.task_id, run.order.run]
         self._end_count += 1
@@ -363,7 +373,7 @@
             fenced_epoch=epoch,
             worker=f"{self.name}/w~1",
             service="desk",
-            zone="z",
+            zone=self._zone,
             state="ready",
             capacity=Demand(self.cores, 4 * self.cores),
             labels=[],
@@ -401,6 +411,23 @@
         return 1.0 if self.seconds <= self.allowed else _LATE_WORTH
 
 
+@attrs.frozen
+class Closure:
+    """A data centre in which no task may start for some time.
+
+    Attributes
+    ----------
+    zone : str
+        Name of the data centre, ``zone-0`` and up.
+    begins_at, ends_at : float
+        Times in seconds from the first arrival of a job.
+    """
+
+    zone: str
+    begins_at: float
+    ends_at: float
+
+
 @attrs.frozen
 class LoadSettings:
     """Load of one simulation; the default fleet has eleven VMs of the service ``desk``.
@@ -436,6 +463,16 @@
     seconds, submit_seconds : float
         Duration of the simulation and of its phase of job arrivals, each counted from
         the first arrival.
+    zones : int
+        Number of data centres that the VMs are spread over.
+    closures : tuple of Closure
+        Closed data centres.
+    lapses_at : tuple of float
+        Times, in seconds from the first arrival, at which the leases of all workers
+        lapse, so that all runs end.
+    leader_changes_at : tuple of float
+        Times, in seconds from the first arrival, at which another leader takes over
+        from the recorded state.
     """
 
     vm_cores: tuple[int, ...] = (64_000, 64_000, 96_000) * 3 + (64_000, 64_000)
@@ -455,6 +492,10 @@
     short_ends_per_second: float = 0.0
     seconds: float = 46.0
     submit_seconds: float = 34.0
+    zones: int = 4
+    closures: tuple[Closure, ...] = ()
+    lapses_at: tuple[float, ...] = ()
+    leader_changes_at: tuple[float, ...] = ()
 
 
 class SharedFleet:
@@ -478,7 +519,8 @@
         self._rng = random.Random(seed)
         self.settings = settings
         self.clock = ManualClock()
-        self.scheduler = Scheduler(1, self.clock, InterferenceModel())
+        self._model = InterferenceModel()
+        self.scheduler = Scheduler(1, self.clock, self._model)
         self.interference = self._draw_interference()
         self.serving_time = ServingTime()
         self.used_core_seconds = 0.0
@@ -486,8 +528,13 @@
         self._work_by_task: dict[str, float] = {}
         self._submitted_at_by_job: dict[str, float] = {}
         self._ended_at_by_job: dict[str, float] = {}
+        self._load_start = math.inf
+        self._next_lapses = sorted(settings.lapses_at)
+        self._next_leader_changes = sorted(settings.leader_changes_at)
+        self._job_rows_by_id: dict[str, bytes] = {}
+        self._progress_rows_by_id: dict[str, bytes | None] = {}
         self._vms = [
-            SharedVm(f"vm-{number}", cores, self)
+            SharedVm(f"vm-{number}", cores, f"zone-{number % settings.zones}", self)
             for number, cores in enumerate(settings.vm_cores)
         ]
 
@@ -510,7 +557,7 @@
         for number in range(self.settings.serving_jobs):
             self._submit_serving(f"serving{number}")
         # The latency-critical tasks start up before the first best-effort job arrives.
-        load_start = self.clock.now() + 5.0
+        load_start = self._load_start = self.clock.now() + 5.0
         arrivals = self._draw_arrivals()
         next_arrival = next(arrivals, None)
         while self.clock.now() < load_start + self.settings.seconds:
@@ -599,16 +646,36 @@
         return mean * self._rng.lognormvariate(-spread * spread / 2, spread)
 
     def _add_job(self, spec: JobSpec) -> None:
+        spec = attrs.evolve(spec, accepted_at=self.clock.now())
         self._specs_by_job[spec.job_id] = spec
+        self._job_rows_by_id[spec.job_id] = encode_job(spec)
         self.scheduler.add_job(spec)
 
     def _step(self) -> None:
         self.clock.advance(TICK_SECONDS)
-        self.scheduler.update_operations(Operations(1), self.clock.now())
+        now = self.clock.now()
+        since_start = now - self._load_start
+        closed = frozenset(
+            closure.zone
+            for closure in self.settings.closures
+            if closure.begins_at <= since_start < closure.ends_at
+        )
+        operations = Operations(1, closed_zones=closed)
+        self.scheduler.update_operations(operations, now)
+        while self._next_lapses and self._next_lapses[0] <= since_start:
+            del self._next_lapses[0]
+            for vm in self._vms:
+                vm.lapse()
+        if self._next_leader_changes and self._next_leader_changes[0] <= since_start:
+            del self._next_leader_changes[0]
+            self._change_leader(operations)
         for vm in self._vms:
             vm.advance(self.serving_time)
             self.used_core_seconds += vm.used * TICK_SECONDS / 1000
         planned = self.scheduler.plan()
+        for write in planned.writes:
+            if write.table == PROGRESS:
+                self._progress_rows_by_id[write.key] = write.value
         self.scheduler.confirm(planned)
         for job, status in planned.statuses_by_job.items():
             if status.final:
@@ -620,6 +687,21 @@
             for order in self.scheduler.make_starts(work.vm, work.starts)[0]:
                 vm.start(order, self.scheduler.find_interfering_pairs(work.vm))
 
+    def _change_leader(self, operations: Operations) -> None:
+        """Replace the scheduler by one that loads the recorded rows."""
+        interference = InterferenceModel()
+        interference.load(self._model.encode())
+        self._model = interference
+        epoch = self.scheduler.epoch + 1
+        self.scheduler = Scheduler(epoch, self.clock, interference)
+        self.scheduler.load(
+            (row, self._progress_rows_by_id.get(job_id))
+            for job_id, row in self._job_rows_by_id.items()
+        )
+        self.scheduler.update_operations(operations, self.clock.now())
+        for vm in self._vms:
+            vm.vm = self.scheduler.add_vm(vm.name, "tcp://nowhere")
+
     def _results(self) -> Iterator[JobResult]:
         for job_id, submitted_at in self._submitted_at_by_job.items():
             spec = self._specs_by_job[job_id]
