Take over the lease of a silent leader without waiting for its reply

An entry may take over 2.5 s after the last change of the lease row. Cause: each look at the row first asked the holder whether it leads, for up to 0.7 s when the holder is gone, and the age of the row was taken from before that query.

The age decides first, and the holder is not asked in the last 0.4 s. What keeps two leaders apart, the age itself and the condition of the write, is as before.

test_takeover_does_not_wait_for_the_reply_of_a_silent_holder failed before in both cases (the holder was asked 0.3 s before the takeover and 0.1 s after it was due).

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -42,6 +42,9 @@
 #: Seconds between two queries whether the holder of the lease still leads. A query also
 #: tells the holder that this entry could take over.
 _HOLDER_QUERY_INTERVAL = 0.6
+#: Seconds before a takeover in which the holder is not queried any more; a query of a
+#: silent holder takes that long.
+_NO_QUERY_SECONDS = 0.4
 #: Seconds of failing writes after which a leader gives its lease up to an entry that
 #: reaches the table service.
 _YIELD_AFTER_SECONDS = 0.5
@@ -212,20 +215,23 @@
         self._read_failed = False
         if now < self._no_acquisition_until:
             return False
-        if self._is_denied_by_holder(ask, now):
-            return self._acquire(version)
         unchanged = began - self._last_change_at
         if self._is_available(row, unchanged):
             return self._acquire(version)
+        if self._is_denied_by_holder(ask, unchanged, now):
+            return self._acquire(version)
         return False
 
     def _is_denied_by_holder(
-        self, ask: Callable[[LeaseRecord], bool], now: float
+        self, ask: Callable[[LeaseRecord], bool], unchanged: float, now: float
     ) -> bool:
         """Return whether the holder replies that it does not lead.
 
-        It is asked at most once in ``_HOLDER_QUERY_INTERVAL``.
+        It is asked at most once in ``_HOLDER_QUERY_INTERVAL``, and not shortly before
+        the lease may be acquired without its reply, which may be long in coming.
         """
+        if unchanged > TAKEOVER_SECONDS - _NO_QUERY_SECONDS:
+            return False
         leader = self.leader
         if leader is None or not leader.address or now < self._next_query_at:
             return False
--- a/packages/pollenkeel-jobs/tests/core/test_leadership.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leadership.py
@@ -78,6 +78,21 @@
     assert LEASE_SECONDS < TAKEOVER_SECONDS
 
 
+@pytest.mark.parametrize("early_seconds", [0.3, -0.1])
+def test_takeover_does_not_wait_for_the_reply_of_a_silent_holder(
+    tables, clock, ask, early_seconds
+):
+    """Guards against a lease that stays free while its dead holder is asked."""
+    make_leadership(tables, clock).observe(ask)
+    second = make_leadership(tables, clock, "entry-2")
+    second.observe(ask)
+    asked = []
+    clock.advance(TAKEOVER_SECONDS - early_seconds)
+    acquired = second.observe(lambda leader: asked.append(leader) or True)
+    assert not asked
+    assert acquired == (early_seconds < 0)
+
+
 def test_holder_can_renew_after_an_outage_of_the_store(tables, clock, ask):
     """Guards against a change of leader after each outage of the table service."""
     first, second = (
