Log what is learnt of interference each time it is recorded

The line 'interference recorded' has the weights, the headroom of each VM and the declared best-effort cores on it, at most once in 4 s.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -579,8 +579,28 @@
         if writes and now >= self._next_weights_write_at:
             self._next_weights_write_at = now + _WEIGHTS_WRITE_INTERVAL
             writes.append(RowWrite(HARM, HARM_KEY, self._interference.encode()))
+            self._log_interference()
         return tuple(writes)
 
+    def _log_interference(self) -> None:
+        """Log what limits the placement of best-effort tasks."""
+        log_change(
+            logger,
+            "interference recorded",
+            weights=self._interference.describe(),
+            headroom_by_vm={
+                vm.name: {
+                    image: round(headroom, 2)
+                    for image, headroom in vm.headroom_by_image.items()
+                }
+                for vm in self._fleet.vms()
+            },
+            best_effort_cores_by_vm={
+                vm.name: round(sum(vm.best_effort_cpu_by_image.values()) / 1000, 1)
+                for vm in self._fleet.vms()
+            },
+        )
+
     def _collect_orders(self) -> list[OrderBatch]:
         """Return the stops, and the starts whose placement is recorded with this pass.
 
