Give up a task under which workers crash, and try it apart from others

Cause: only a run that ends 'failed' counted against a task. A loss with the worker left no trace, and the task was placed again as the first one on the same VM. Class of fault: a failure whose effect hides its own report.

A worker that said it leaves, or a VM whose agent was lost too, has not crashed. - The leader records the incarnations that crashed under a task in its row, so that a repeated report or a new leader counts each once. A task is given up with its job after two crashes if it was the only one started last, else after three. - A suspected task goes to another VM, which starts nothing else until the task has run for 1 s; at most a quarter of the VMs are on trial. Gangs start together as before.

Ruled out: a fault of the count of attempts itself, which is kept over a change of leader.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections import deque
 from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import Any
 
@@ -13,6 +14,7 @@
 from pollenkeel_jobs.core.messages import (
     InterferingPair,
     OrderOutcome,
+    RunKey,
     StartOrder,
     StopOrder,
     TaskProfile,
@@ -20,9 +22,11 @@
     VmOrdersReply,
     VmReport,
     VmReportReply,
+    WorkerCrash,
 )
 from pollenkeel_jobs.core.metrics import FILLING_CORES, SERVING_PRESSURE
 from pollenkeel_jobs.core.pacing import Pace, PaceController
+from pollenkeel_jobs.core.start_history import StartHistory
 from pollenkeel_jobs.core.worker import (
     Worker,
     WorkerAnnouncement,
@@ -52,6 +56,8 @@
 #: Number of revoked runs that are kept per incarnation of the worker; beyond that the
 #: oldest is dropped.
 _MAX_REVOKED_RUNS = 2000
+#: Number of crashes of the worker that are kept for the reports.
+_MAX_CRASHES = 4
 _ORDER_THREADS = 4
 _UNKNOWN = "unknown"
 _REFUSED = "refused"
@@ -78,6 +84,10 @@
         Interference between the images on the VM, as last sent by the leader.
     pace : PaceController
         Chooses the speed caps of the best-effort tasks.
+    starts : StartHistory
+        Start times of the runs.
+    answering : bool
+        Whether the worker has answered the latest poll.
     """
 
     announcement: WorkerAnnouncement
@@ -87,6 +97,8 @@
     withdrawn: dict[tuple[str, int], None] = attrs.field(factory=dict)
     harms: list[InterferingPair] = attrs.field(factory=list)
     pace: PaceController = attrs.field(factory=PaceController)
+    starts: StartHistory = attrs.field(factory=StartHistory)
+    answering: bool = True
 
 
 class VmAgent:
@@ -114,6 +126,7 @@
         self._state: _WorkerState | None = None
         self._epoch = 0
         self._leader: PeerClient | None = None
+        self._crashes: deque[WorkerCrash] = deque(maxlen=_MAX_CRASHES)
         self._wake = threading.Event()
         self._order_pool = ThreadPoolExecutor(
             _ORDER_THREADS, thread_name_prefix="order"
@@ -142,11 +155,25 @@
                         )
                         self._wake.set()
                     return True
+                if not known.draining:
+                    self._record_crash(state)
             self._state = _WorkerState(announcement)
         log_change(logger, "worker started", worker=announcement.incarnation)
         self._wake.set()
         return True
 
+    def _record_crash(self, state: _WorkerState) -> None:
+        """Record that a worker has ended without an announcement."""
+        suspects = [RunKey(*run) for run in state.starts.find_latest()]
+        worker = self._get_vm_incarnation(state)
+        self._crashes.append(WorkerCrash(worker, suspects))
+        log_change(
+            logger,
+            "worker crashed",
+            worker=worker,
+            suspects=[f"{run.task_id}:{run.run}" for run in suspects],
+        )
+
     def record_departure(self, worker_id: str) -> None:
         """Mark a worker that has deregistered as draining; it gets no more starts."""
         with self._lock:
@@ -245,9 +272,17 @@
         message: VmOrders,
     ) -> OrderOutcome:
         payload = message.payloads_by_job.get(start.task_id.split(".")[0], "")
+        run = (start.task_id, start.run)
+        with self._lock:
+            # A worker that does not answer may have crashed already.
+            if state.answering:
+                state.starts.record(run, self._clock.now())
         result = self._worker.start(order, start, payload, message.deadline)
         if isinstance(result, Err):
             failure = result.err_value
+            if failure.refused:
+                with self._lock:
+                    state.starts.forget([run])
             outcome = _REFUSED if failure.refused else _UNKNOWN
             return OrderOutcome(start.task_id, start.run, outcome, failure.reason)
         self._set_initial_pace(state, order, start, message.harms)
@@ -317,11 +352,14 @@
         result = self._worker.hold(
             order, state.lease_until, state.recorded_through, seconds
         )
+        state.answering = not isinstance(result, Err)
         if isinstance(result, Err):
             self._wake.wait(_RETRY_SECONDS)
             self._send_report(self._make_report(state, epoch, None, []), state)
             return
         lists = result.ok_value
+        with self._lock:
+            state.starts.forget((end.task_id, end.run) for end in lists.ended)
         # Only the polls of ``run`` adjust speed caps, not the one for a new leader.
         if seconds:
             self._update_paces(state, order, lists)
@@ -393,6 +431,7 @@
             state="draining" if announcement.draining else "ready",
             capacity=announcement.capacity,
             labels=list(announcement.labels),
+            crashes=list(self._crashes),
         )
         if lists is None:
             return report
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -182,6 +182,30 @@
     checkpoint: str = ""
 
 
+@attrs.frozen
+class RunKey:
+    """Identifies a run by its task and its number."""
+
+    task_id: str
+    run: int
+
+
+@attrs.frozen
+class WorkerCrash:
+    """End of a worker that had not announced that it would leave.
+
+    Attributes
+    ----------
+    worker : str
+        Incarnation that has ended.
+    suspects : list of RunKey
+        Runs that were started shortly before and may have crashed it.
+    """
+
+    worker: str
+    suspects: list[RunKey] = attrs.field(factory=list)
+
+
 @attrs.frozen
 class VmReport(Message):
     """State of a VM's worker, sent by its agent.
@@ -216,6 +240,8 @@
         Running tasks without a known profile.
     paced : bool
         The agent throttles at least one best-effort task.
+    crashes : list of WorkerCrash
+        Latest crashes of the VM's workers; repeated in every report.
     """
 
     vm: str
@@ -233,6 +259,7 @@
     withdrawn: list[StopOrder] = attrs.field(factory=list)
     unprofiled: list[str] = attrs.field(factory=list)
     paced: bool = False
+    crashes: list[WorkerCrash] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -261,6 +261,8 @@
         empty for none.
     runner : str
         Incarnation of the worker on which the latest run was placed.
+    crashed_on : set of str
+        Incarnations of workers that crashed shortly after they had started the task.
     placed_at, seen_at : float
         Time of the placement and of the first report that lists the run, in seconds
         since the Unix epoch; 0 if it has not happened under this leader.
@@ -297,6 +299,7 @@
     failures: int = 0
     checkpoint: str = ""
     runner: str = ""
+    crashed_on: set[str] = attrs.field(factory=set)
 
     placed_at: float = 0.0
     seen_at: float = 0.0
@@ -326,6 +329,10 @@
         self.use = 0.0
         self.ticket = ""
 
+    def has_crashed_vm(self, name: str) -> bool:
+        """Return whether a worker of this VM crashed after it had started the task."""
+        return any(worker.partition("/")[0] == name for worker in self.crashed_on)
+
     @property
     def step(self) -> StepSpec:
         """Specification of the task's step."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -40,7 +40,8 @@
 _MAX_BEST_EFFORT_LOAD = 1.0
 #: Load added for each unit by which a VM's slowness factor exceeds 1.
 _SLOWNESS_FACTOR = 0.6
-#: Load added if the task failed or stalled on the VM's current worker.
+#: Load added if the task failed or stalled on the VM's current worker, or may have
+#: crashed a worker of the VM.
 _FAILED_BEFORE_PENALTY = 5.0
 #: Load added if the task's data is on another rack.
 _REMOTE_DATA_PENALTY = 1.0
@@ -105,7 +106,11 @@
 
     def group(self, task: Task) -> Hashable:
         """Return what makes a VM's score differ between tasks of one step."""
-        return self._has_waited_long(task), frozenset(task.failed_on)
+        return (
+            self._has_waited_long(task),
+            frozenset(task.failed_on),
+            frozenset(task.crashed_on),
+        )
 
     def score(self, task: Task, vm: Vm) -> float | None:
         """Return the expected load of a VM plus penalties, or None if it has no room.
@@ -133,7 +138,7 @@
             score += _HEADROOM_SHARE_FACTOR * self._estimate_headroom_share(task, vm)
         elif step.latency_target:
             score += _INTERFERENCE_FACTOR * self._estimate_headroom_loss(task, vm)
-        if vm.incarnation in task.failed_on:
+        if vm.incarnation in task.failed_on or task.has_crashed_vm(vm.name):
             score += _FAILED_BEFORE_PENALTY
         if step.data_rack and step.data_rack not in vm.labels:
             score += _REMOTE_DATA_PENALTY
@@ -199,6 +204,8 @@
         return "service"
     if step.label and step.label not in vm.labels:
         return "label"
+    if vm.trial is not None:
+        return "trial"
     if not vm.has_room_for(step.reserved):
         return "room"
     if step.fills and vm.cpu_load >= _MAX_BEST_EFFORT_LOAD:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -14,6 +14,8 @@
 from pollenkeel_jobs.core.placement import Placement
 from pollenkeel_jobs.core.vms import Vm
 
+#: Share of the VMs that may have a task on trial (``Vm.trial``) at the same time.
+_MAX_TRIAL_SHARE = 0.25
 #: Number of steps without a fitting VM after which a pass over the queue ends.
 _MAX_UNPLACED_STEPS = 12
 
@@ -76,6 +78,8 @@
             step = (task.job, task.key.occurrence, task.key.step)
             if step in unplaced_steps or task not in self._jobs.ready:
                 continue
+            if task.crashed_on and not _may_begin_trial(vms):
+                continue
             if task.step.gang:
                 candidates = None
                 placements = self._place_gang(task, vms)
@@ -119,6 +123,11 @@
         return [Placed(member, vm, run) for member, vm in chosen.items()]
 
 
+def _may_begin_trial(vms: list[Vm]) -> bool:
+    trials = sum(vm.trial is not None for vm in vms)
+    return trials < max(1.0, _MAX_TRIAL_SHARE * len(vms))
+
+
 def _place_task(task: Task, candidates: Candidates) -> list[Placed]:
     """Place a task on the best candidate, if there is one."""
     vm = candidates.reserve(task)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
@@ -100,7 +100,8 @@
     """Return the row value of a job's progress.
 
     The row of an ended job holds only its status and whether it was cancelled. In other
-    rows, tasks refer to their runner by its index in a list.
+    rows, tasks refer to their runner by its index in a list, and only tasks that may
+    have crashed workers have a list of these.
     """
     if job.status.final:
         return bytes(msgpack.packb([job.status.value, job.cancelled]))
@@ -114,6 +115,7 @@
                 task.failures,
                 runners.setdefault(task.runner, len(runners)),
                 task.checkpoint,
+                *([sorted(task.crashed_on)] if task.crashed_on else []),
             ]
             for task in tasks
         ]
@@ -163,9 +165,10 @@
         if not job.has_occurrence(occurrence):
             job.add_occurrence(occurrence)
         for task, row in zip(job.tasks_by_step[occurrence, step], rows, strict=True):
-            state, task.run, task.failures, runner, task.checkpoint = row
+            state, task.run, task.failures, runner, task.checkpoint, *crashes = row
             task.state = TaskState(state)
             task.runner = runners[runner]
+            task.crashed_on = set(*crashes)
 
 
 def _encode_step(step: StepSpec) -> dict[str, Any]:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -23,6 +23,7 @@
     StartOrder,
     VmReport,
     VmReportReply,
+    WorkerCrash,
 )
 from pollenkeel_jobs.core.metrics import RUNS_ENDED, RUNS_PLACED, WAIT_SECONDS
 from pollenkeel_jobs.core.migration import Migration
@@ -61,6 +62,12 @@
 _JOBS_PER_COMMIT = 60
 #: Seconds after its placement at which a run that the worker does not list is revoked.
 _UNLISTED_RUN_SECONDS = 1.5
+#: Number of crashes of workers after which a task is given up: if it was the only one
+#: that had just been started at the last crash, and if there were others.
+_MAX_CRASHES_ALONE = 2
+_MAX_CRASHES = 3
+#: Seconds for which a worker must run a suspected task before it gets other tasks.
+_TRIAL_SECONDS = 1.0
 #: Seconds between two searches for tasks to migrate.
 _MIGRATION_INTERVAL = 0.4
 #: Seconds between two writes of the learned interference weights.
@@ -268,6 +275,8 @@
         if report.worker != vm.incarnation:
             for task in self._fleet.begin_incarnation(vm, report.worker):
                 self._requeue(task, "worker restarted")
+        for crash in report.crashes:
+            self._record_crash(vm, crash)
         vm.service = report.service
         vm.zone = report.zone
         vm.capacity = report.capacity
@@ -282,6 +291,38 @@
                 vm.name, report.running, vm.profiles_by_task, vm.capacity.cpu, now
             )
 
+    def _record_crash(self, vm: Vm, crash: WorkerCrash) -> None:
+        """Record a crash with the tasks that may have caused it.
+
+        A crash is reported repeatedly, also to later leaders; it counts once.
+        """
+        for run in crash.suspects:
+            parsed = parse_task_id(run.task_id)
+            job = self._jobs.find(parsed[0]) if parsed else None
+            task = job.task(parsed[1]) if job is not None and parsed else None
+            if task is None or task.job.status.final or task.state is TaskState.DONE:
+                continue
+            if crash.worker in task.crashed_on:
+                continue
+            task.crashed_on.add(crash.worker)
+            self._jobs.dirty[task.job] = None
+            crashes = len(task.crashed_on)
+            alone = len(crash.suspects) == 1
+            given_up = crashes >= (_MAX_CRASHES_ALONE if alone else _MAX_CRASHES)
+            log_change(
+                logger,
+                "task suspected of a crash",
+                task=run.task_id,
+                run=run.run,
+                vm=vm.name,
+                worker=crash.worker,
+                suspects=len(crash.suspects),
+                crashes=crashes,
+                given_up=given_up,
+            )
+            if given_up:
+                self._finish(task.job, JobStatus.FAILED)
+
     def _apply_run_lists(self, vm: Vm, report: VmReport, now: float) -> None:
         """Update tasks from the runs that the worker lists.
 
@@ -301,6 +342,8 @@
                 continue
             self._jobs.mark_started(task.job)
             update_run(task, running, report.paced, now)
+            if vm.trial is task and now - task.seen_at >= _TRIAL_SECONDS:
+                vm.trial = None
             if has_stalled(task, now):
                 self._stop_stalled(vm, task, now)
             if (
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -76,6 +76,9 @@
         placement are not included.
     has_unknown_runs : bool
         Whether the worker lists a run of an unknown job, whose demand is unknown too.
+    trial : Task or None
+        Placed task that may have crashed workers. Until it has run for a while, the VM
+        gets no other tasks, which a further crash would end or bring under suspicion.
     best_effort_use_by_task : dict of str to float
         CPU that each best-effort task uses, in thousandths of a core; what it declares
         until there are measurements.
@@ -114,6 +117,7 @@
     reserved_demand: Demand = attrs.field(factory=Demand)
     unplaced_demand: Demand = attrs.field(factory=Demand)
     has_unknown_runs: bool = False
+    trial: Task | None = None
     best_effort_use_by_task: dict[str, float] = attrs.field(factory=dict)
     tasks_by_id: dict[str, Task] = attrs.field(factory=dict)
     serving_cpu: int = 0
@@ -184,6 +188,8 @@
         self.tasks_by_id[task.task_id] = task
         self.profiles_by_task[task.task_id] = make_profile(task)
         self.reserved_demand += step.reserved
+        if task.crashed_on and not step.gang:
+            self.trial = task
         if step.fills:
             self.best_effort_use_by_task[task.task_id] = step.demand.cpu
             self.best_effort_cpu_by_image[step.image] += step.demand.cpu
@@ -195,6 +201,8 @@
         """Remove a task and free its resources; does nothing if it is not here."""
         if self.tasks_by_id.pop(task.task_id, None) is None:
             return
+        if self.trial is task:
+            self.trial = None
         step = task.step
         del self.profiles_by_task[task.task_id]
         self.reserved_demand -= step.reserved
--- /dev/null
+++ b/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
@@ -0,0 +1,273 @@
+"""Guards against tasks that crash one worker after the other."""
+
+import random
+
+import attrs
+import pytest
+from jobs_doubles import Site, make_job
+from result import Err, Ok
+
+from pollenkeel_jobs.core.agent import VmAgent
+from pollenkeel_jobs.core.messages import (
+    EndedTask,
+    RunKey,
+    StartOrder,
+    TaskProfile,
+    VmOrders,
+)
+from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
+from pollenkeel_jobs.core.names import PROGRESS
+from pollenkeel_jobs.core.records import encode_job
+from pollenkeel_jobs.core.worker import (
+    Worker,
+    WorkerAnnouncement,
+    WorkerFailure,
+    WorkerLists,
+)
+
+#: Starts of a task that crashes each worker, as promised to the operators: three
+#: crashes, and fewer than three starts after the third.
+MAX_STARTS = 5
+#: Time in seconds for which a crashed worker is away, in steps of the simulation.
+STEP_SECONDS = 0.5
+AWAY_STEPS = 7
+
+
+def make_step(count=1, **fields):
+    return StepSpec(count, Demand(1000, 1000), 1.0, **fields)
+
+
+class CrashPlay:
+    """Site on which some tasks crash every worker that starts them.
+
+    Attributes
+    ----------
+    starts_by_task : dict of str to int
+        Number of starts of each task that crashes workers.
+    """
+
+    def __init__(self, clock, deadly, vms=6):
+        self.clock = clock
+        self.deadly = set(deadly)
+        self.site = Site(clock, vms)
+        self.starts_by_task = dict.fromkeys(self.deadly, 0)
+        self._steps_away_by_vm = dict.fromkeys(self.site.vms, 0)
+
+    def step(self):
+        """Start and end tasks; crash the workers that start a deadly one."""
+        self.clock.advance(STEP_SECONDS)
+        for vm in self.site.vms:
+            vm.away = self._steps_away_by_vm[vm] > 0
+            self._steps_away_by_vm[vm] -= 1
+            for run in list(vm.running):
+                if self._may_end(run.task_id):
+                    vm.end(run.task_id)
+            vm.running = [attrs.evolve(run, percent=100) for run in vm.running]
+        starts_by_vm = self.site.step()
+        for vm in self.site.vms:
+            started = [] if vm.away else starts_by_vm.get(vm.name, [])
+            deadly = self.deadly & {order.task_id for order in started}
+            if deadly:
+                vm.crash(*(RunKey(order.task_id, order.run) for order in started))
+                self._steps_away_by_vm[vm] = AWAY_STEPS
+            for task_id in deadly:
+                self.starts_by_task[task_id] += 1
+
+    def _may_end(self, task_id):
+        """Return whether a run ends; the others of a deadly task's step wait for it."""
+        step = task_id.rpartition(".")[0]
+        waits = any(other.rpartition(".")[0] == step for other in self.deadly)
+        return not waits and not task_id.startswith("lasting")
+
+
+@pytest.mark.parametrize(
+    "fields", [{}, {"long_running": True}, {"gang": True}, {"after": (0,)}]
+)
+def test_task_that_crashes_each_worker_is_given_up(clock, fields):
+    """Guards against a task that crashes one worker after the other until it ends."""
+    steps = (make_step(), make_step(2, **fields))
+    play = CrashPlay(clock, ["j1.0.1.0"])
+    play.site.scheduler.add_job(make_job(steps=steps))
+    for _ in range(120):
+        play.step()
+    assert play.site.scheduler.find_status("j1") is JobStatus.FAILED
+    assert 2 <= play.starts_by_task["j1.0.1.0"] <= MAX_STARTS
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_jobs_beside_a_task_that_crashes_workers_are_done(clock, seed):
+    """Guards against innocent jobs that are given up for a neighbour's crashes."""
+    rng = random.Random(seed)
+    play = CrashPlay(clock, ["bad0.0.0.1", "bad1.0.0.0", "bad2.0.0.2"])
+    scheduler = play.site.scheduler
+    scheduler.add_job(make_job("lasting", (make_step(4, long_running=True),)))
+    names = [*(f"good{n}" for n in range(40)), "bad0", "bad1", "bad2"]
+    rng.shuffle(names)
+    for name in names:
+        scheduler.add_job(make_job(name, (make_step(3), make_step(2, after=(0,)))))
+        play.step()
+    for _ in range(120):
+        play.step()
+    statuses = {name: scheduler.find_status(name) for name in names}
+    good = {name for name, status in statuses.items() if status is JobStatus.DONE}
+    assert good == {f"good{n}" for n in range(40)}
+    assert len([vm for vm in play.site.running if vm.startswith("lasting")]) == 4
+    assert max(play.starts_by_task.values()) <= MAX_STARTS
+
+
+def test_crashes_are_counted_over_a_change_of_leader(clock):
+    """Guards against a count that each new leader begins anew."""
+    site = Site(clock, vms=3)
+    job = make_job(steps=(make_step(),))
+    site.scheduler.add_job(job)
+    progress = None
+    for _ in range(3):
+        successor = Site(clock, vms=3)
+        successor.scheduler.load([(encode_job(job), progress)])
+        for vm, before in zip(successor.vms, site.vms, strict=True):
+            vm.incarnation, vm.crashes = before.incarnation, before.crashes
+        site = successor
+        site.step()
+        holder = next((vm for vm in site.vms if vm.running), None)
+        if holder is not None:
+            run = holder.running[0]
+            holder.crash(RunKey(run.task_id, run.run))
+            site.step()
+        progress = site.rows_by_key.get((PROGRESS, "j1"), progress)
+    assert site.scheduler.find_status("j1") is JobStatus.FAILED
+
+
+def test_repeated_report_of_a_crash_counts_once(clock):
+    """Each report of an agent repeats its latest crashes."""
+    site = Site(clock, vms=2)
+    site.scheduler.add_job(make_job(steps=(make_step(),)))
+    site.step()
+    holder = next(vm for vm in site.vms if vm.running)
+    holder.crash(RunKey("j1.0.0.0", 1))
+    for _ in range(5):
+        site.step()
+    assert site.scheduler.find_status("j1") is not JobStatus.FAILED
+    assert site.running == ["j1.0.0.0"]
+
+
+def test_loss_of_whole_vms_is_no_crash_of_a_task(clock):
+    """Guards against jobs given up because their VMs lost power several times."""
+    site = Site(clock, vms=2)
+    site.scheduler.add_job(make_job(steps=(make_step(),)))
+    for _ in range(6):
+        site.step()
+        for vm in site.vms:
+            vm.crash()
+    site.step()
+    assert site.running == ["j1.0.0.0"]
+
+
+def test_suspected_task_runs_on_another_vm_and_apart(clock):
+    """Guards against a crash that ends the tasks started beside a suspected one."""
+    site = Site(clock, vms=2)
+    site.scheduler.add_job(make_job(steps=(make_step(),)))
+    site.step()
+    holder = next(vm for vm in site.vms if vm.running)
+    holder.crash(RunKey("j1.0.0.0", 1))
+    site.step()
+    other = next(vm for vm in site.vms if vm is not holder)
+    assert [run.task_id for run in other.running] == ["j1.0.0.0"]
+    site.scheduler.add_job(make_job("j2", (make_step(3),)))
+    site.step()
+    assert [run.task_id for run in other.running] == ["j1.0.0.0"]
+    clock.advance(1.1)
+    site.step()
+    site.scheduler.add_job(make_job("j3", (make_step(3),)))
+    site.step()
+    assert len(other.running) > 1
+
+
+class WorkerDouble(Worker):
+    """Worker that rejects the starts in ``rejected`` and lists ``ended``."""
+
+    def __init__(self):
+        self.rejected = set()
+        self.ended = []
+        self.answers = True
+
+    def start(self, order, start, payload, deadline):
+        rejected = start.task_id in self.rejected
+        return Err(WorkerFailure(True, "room")) if rejected else Ok(None)
+
+    def stop(self, order, task_id, run):
+        return Ok(None)
+
+    def hold(self, order, deadline, recorded_through, wait):
+        if not self.answers:
+            return Err(WorkerFailure(False, "connection reset"))
+        return Ok(WorkerLists(1.0, [], list(self.ended)))
+
+    def pace(self, order, task_id, run, percent):
+        return Ok(None)
+
+
+@pytest.fixture
+def worker():
+    return WorkerDouble()
+
+
+@pytest.fixture
+def reports():
+    return []
+
+
+@pytest.fixture
+def agent(clock, worker, reports, monkeypatch):
+    """Agent of a VM with a worker; its reports go to ``reports``."""
+    agent = VmAgent("vm-1", clock, worker)
+    monkeypatch.setattr(
+        agent,
+        "_send_report",
+        lambda report, state: bool(reports.append(report)) or True,
+    )
+    agent.record_announcement(announce(1))
+    return agent
+
+
+def announce(born, draining=False):
+    return WorkerAnnouncement(
+        "w", born, "desk", "z1", 1, draining, Demand(4000, 8000), ()
+    )
+
+
+def order_starts(agent, *task_ids):
+    starts = [
+        StartOrder(task_id, 1, TaskProfile(task_id), "", "") for task_id in task_ids
+    ]
+    incarnation = f"vm-1/{agent._state.announcement.incarnation}"
+    agent.handle(VmOrders("e", 0.0, 5, "tcp://127.0.0.1:1", incarnation, 0.0, starts))
+
+
+def find_suspects(agent, reports):
+    agent._poll_worker(0.01)
+    return [[run.task_id for run in crash.suspects] for crash in reports[-1].crashes]
+
+
+def test_agent_suspects_the_runs_started_last(agent, clock, worker, reports):
+    """Guards against suspicion of runs that the worker carried for long."""
+    order_starts(agent, "old.0.0.0")
+    clock.advance(2.0)
+    worker.rejected = {"rejected.0.0.0"}
+    order_starts(agent, "ended.0.0.0", "bad.0.0.0", "rejected.0.0.0")
+    worker.ended = [EndedTask(1, "ended.0.0.0", 1, "done", "")]
+    agent._poll_worker(0.01)
+    worker.answers = False
+    agent._poll_worker(0.01)
+    clock.advance(1.0)
+    order_starts(agent, "after.0.0.0")
+    worker.answers = True
+    agent.record_announcement(announce(2))
+    assert find_suspects(agent, reports) == [["bad.0.0.0"]]
+
+
+def test_worker_that_leaves_has_not_crashed(agent, reports):
+    """Guards against suspicion after a planned restart of a worker."""
+    order_starts(agent, "good.0.0.0")
+    agent.record_departure("w")
+    agent.record_announcement(announce(2))
+    assert find_suspects(agent, reports) == []
--- a/packages/pollenkeel-jobs/tests/jobs_doubles.py
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -8,7 +8,13 @@
 from result import Err, Ok
 
 from pollenkeel_jobs.core.interference_model import InterferenceModel
-from pollenkeel_jobs.core.messages import EndedTask, RunningTask, VmReport
+from pollenkeel_jobs.core.messages import (
+    EndedTask,
+    OrderOutcome,
+    RunningTask,
+    VmReport,
+    WorkerCrash,
+)
 from pollenkeel_jobs.core.model import Demand, JobSpec, QueuePolicy, StepSpec
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.scheduler import Scheduler
@@ -113,10 +119,14 @@
         self.ended = []
         self.withdrawn = []
         self.draining = False
+        self.away = False
+        self.crashes = []
         self.epoch = scheduler.epoch
         self.vm = scheduler.add_vm(name, "tcp://nowhere")
 
     def report(self, may_grant_lease=True):
+        if self.away:
+            return None
         report = VmReport(
             self.name,
             0.0,
@@ -133,6 +143,7 @@
             running=list(self.running),
             ended=list(self.ended),
             withdrawn=list(self.withdrawn),
+            crashes=list(self.crashes),
         )
         return self.scheduler.process_report(report, may_grant_lease)
 
@@ -152,10 +163,26 @@
         return self.scheduler.process_report(report, True)
 
     def start(self, orders):
-        """Start the runs of the orders."""
+        """Start the runs of the orders; no worker listens while the VM is away."""
+        if self.away:
+            refused = [
+                OrderOutcome(order.task_id, order.run, "refused", "nothing listens")
+                for order in orders
+            ]
+            self.scheduler.process_outcomes(self.vm, refused)
+            return
         for order in orders:
             self.running.append(RunningTask(order.task_id, order.run))
 
+    def crash(self, *suspects):
+        """Replace the worker by a new incarnation; its agent suspects these runs."""
+        if suspects:
+            self.crashes.append(WorkerCrash(self.incarnation, list(suspects)))
+        worker, _, born = self.incarnation.rpartition("~")
+        self.incarnation = f"{worker}~{int(born) + 1}"
+        self.running.clear()
+        self.ended.clear()
+
     def end(self, task_id, how="done", checkpoint=""):
         """End the run of a task."""
         run = next(r for r in self.running if r.task_id == task_id)
