Start nothing on a worker that nothing listens for

The agent's report says whether the latest poll was certainly not executed (connection refused, or a status that rejects all calls); the VM then gets no starts until the worker answers again. A worker that does not answer in time keeps what it has, as before.

test_worker_that_nothing_listens_for_gets_no_starts failed without the check: the start was planned. test_agent_reports_that_nothing_listens covers both sides.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -355,7 +355,11 @@
         state.answering = not isinstance(result, Err)
         if isinstance(result, Err):
             self._wake.wait(_RETRY_SECONDS)
-            self._send_report(self._make_report(state, epoch, None, []), state)
+            report = attrs.evolve(
+                self._make_report(state, epoch, None, []),
+                rejecting=result.err_value.refused,
+            )
+            self._send_report(report, state)
             return
         lists = result.ok_value
         with self._lock:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -240,6 +240,9 @@
         Running tasks without a known profile.
     paced : bool
         The agent throttles at least one best-effort task.
+    rejecting : bool
+        The worker certainly did not execute the latest poll: nothing listens at its
+        address, or it rejects all calls.
     crashes : list of WorkerCrash
         Latest crashes of the VM's workers; repeated in every report.
     """
@@ -259,6 +262,7 @@
     withdrawn: list[StopOrder] = attrs.field(factory=list)
     unprofiled: list[str] = attrs.field(factory=list)
     paced: bool = False
+    rejecting: bool = False
     crashes: list[WorkerCrash] = attrs.field(factory=list)
 
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -282,6 +282,7 @@
         vm.capacity = report.capacity
         vm.labels = frozenset(report.labels)
         vm.draining = report.state != "ready"
+        vm.rejecting = report.rejecting
         if report.clock:
             vm.listed_at = now
             self._apply_run_lists(vm, report, now)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -37,6 +37,8 @@
         Data centre of the VM.
     draining : bool
         Whether the worker is leaving and takes no new tasks.
+    rejecting : bool
+        Whether the worker rejects all calls, or nothing listens at its address.
     capacity : Demand
         Resources that the worker offers.
     labels : frozenset of str
@@ -103,6 +105,7 @@
     service: str = ""
     zone: str = ""
     draining: bool = False
+    rejecting: bool = False
     capacity: Demand = attrs.field(factory=Demand)
     labels: frozenset[str] = frozenset()
     heard_at: float = 0.0
@@ -169,6 +172,8 @@
             return "not fenced"
         if self.draining:
             return "draining"
+        if self.rejecting:
+            return "rejects calls"
         if self.has_unknown_runs:
             return "unknown runs"
         if now - self.listed_at >= REPORT_VALID_SECONDS:
--- a/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
@@ -182,6 +182,17 @@
     assert len(other.running) > 1
 
 
+def test_worker_that_nothing_listens_for_gets_no_starts(clock):
+    """Guards against hundreds of refused starts after the crash of a worker."""
+    site = Site(clock)
+    site.step()
+    site.vms[0].report_without_lists(rejecting=True)
+    site.scheduler.add_job(make_job(steps=(make_step(),)))
+    assert not site.scheduler.plan().order_batches
+    site.step()
+    assert site.running == ["j1.0.0.0"]
+
+
 class WorkerDouble(Worker):
     """Worker that rejects the starts in ``rejected`` and lists ``ended``."""
 
@@ -189,6 +200,7 @@
         self.rejected = set()
         self.ended = []
         self.answers = True
+        self.listens = True
 
     def start(self, order, start, payload, deadline):
         rejected = start.task_id in self.rejected
@@ -199,7 +211,7 @@
 
     def hold(self, order, deadline, recorded_through, wait):
         if not self.answers:
-            return Err(WorkerFailure(False, "connection reset"))
+            return Err(WorkerFailure(not self.listens, "connection failed"))
         return Ok(WorkerLists(1.0, [], list(self.ended)))
 
     def pace(self, order, task_id, run, percent):
@@ -271,3 +283,11 @@
     agent.record_departure("w")
     agent.record_announcement(announce(2))
     assert find_suspects(agent, reports) == []
+
+
+@pytest.mark.parametrize("listens", [True, False])
+def test_agent_reports_that_nothing_listens(agent, worker, reports, listens):
+    """A worker that is only slow keeps its starts."""
+    worker.answers, worker.listens = False, listens
+    agent._poll_worker(0.01)
+    assert reports[-1].rejecting is not listens
--- a/packages/pollenkeel-jobs/tests/jobs_doubles.py
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -147,8 +147,8 @@
         )
         return self.scheduler.process_report(report, may_grant_lease)
 
-    def report_without_lists(self):
-        """Send the report of an agent whose worker does not answer."""
+    def report_without_lists(self, rejecting=False):
+        """Send the report of an agent whose worker does not answer or rejects it."""
         report = VmReport(
             self.name,
             0.0,
@@ -159,6 +159,7 @@
             zone=self.zone,
             state="draining" if self.draining else "ready",
             capacity=self.capacity,
+            rejecting=rejecting,
         )
         return self.scheduler.process_report(report, True)
 
