Leave out entries that are nested too deeply to be decoded

Other operators report that one odd entry of another writer ended the machines that read the list. Here a document nested 100,000 deep raised RecursionError, which is no ValueError, in the replies of the store and of workers, in requests, in the operators' configuration, in the agent's table of entries and in the replies that the CLI reads.

parse_json raises ValueError for such a text, which all of these catch; it replaces the same pair of exceptions in six other readers. The count of live entries leaves out a row that it can't read.

--- a/packages/pollenkeel-agent/src/pollenkeel_agent/core/announcer.py
+++ b/packages/pollenkeel-agent/src/pollenkeel_agent/core/announcer.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import json
 import threading
 from collections.abc import Callable
 
@@ -18,6 +17,7 @@
 from pollenkeel_agent.core.site import SiteState
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.codes import Code
+from pollenkeel_kernel.core.json_text import parse_json
 from pollenkeel_kernel.core.logs import log_change
 from pollenkeel_kernel.core.messages import Announce, AnnounceReply, EntryAddress
 from pollenkeel_kernel.core.settings import TimingSettings, structure_checked
@@ -325,7 +325,7 @@
 
 def _parse_row(row: Row) -> EntryAddress | None:
     try:
-        raw = json.loads(row.value)
+        raw = parse_json(row.value)
     except ValueError:
         return None
     checked = structure_checked(raw, EntryAddress, f"{_ENTRIES_TABLE}/{row.key}")
--- a/packages/pollenkeel-agent/src/pollenkeel_agent/core/upstream_api.py
+++ b/packages/pollenkeel-agent/src/pollenkeel_agent/core/upstream_api.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 import cherrypy
@@ -17,6 +16,7 @@
     write_json,
     write_refusal,
 )
+from pollenkeel_kernel.core.json_text import parse_json
 from pollenkeel_kernel.core.refusal import Refusal
 from pollenkeel_kernel.core.settings import structure_checked
 
@@ -82,8 +82,8 @@
     if not 0 < length <= _MAX_ANNOUNCEMENT_BYTES:
         return Err(f"body of {length} bytes; expected 1 to {_MAX_ANNOUNCEMENT_BYTES}")
     try:
-        raw = json.loads(cherrypy.request.rfile.read(length))
-    except (ValueError, RecursionError) as error:
+        raw = parse_json(cherrypy.request.rfile.read(length))
+    except ValueError as error:
         return Err(f"not valid JSON: {error}")
     checked = structure_checked(raw, UpstreamAnnouncement, "body")
     if isinstance(checked, Err):
--- a/packages/pollenkeel-agent/tests/core/test_announcer.py
+++ b/packages/pollenkeel-agent/tests/core/test_announcer.py
@@ -148,10 +148,17 @@
 ):
     """Guards against one invalid row that hides all entries."""
     good = json.dumps(attrs.asdict(entries[1].address())).encode()
-    bad = attrs.evolve(entries[1].address(), peer_address="nowhere")
+    invalid_addresses = ("nowhere", "tcp://127.0.0.1:99999", "tcp://[::1", "")
+    bad = [
+        json.dumps(attrs.asdict(attrs.evolve(entries[1].address(), peer_address=a)))
+        for a in invalid_addresses
+    ]
+    too_large = good.replace(b'"expires_at": ', b'"expires_at": 1e999')
     table.rows = [
         Row("a", 1, b"{"),
-        Row("b", 1, json.dumps(attrs.asdict(bad)).encode()),
+        Row("a-deep", 1, b"[" * 100_000),
+        Row("a-large", 1, too_large),
+        *(Row(f"b-{n}", 1, text.encode()) for n, text in enumerate(bad)),
         Row("entry-2", 1, good),
     ]
     make_announcer([]).refresh()
--- a/packages/pollenkeel-cli/src/pollenkeel_cli/core/client.py
+++ b/packages/pollenkeel-cli/src/pollenkeel_cli/core/client.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from pollenkeel_kernel.core.codes import Code, Outcome, find_code
+from pollenkeel_kernel.core.json_text import parse_json
 from pollenkeel_kernel.core.refusal import Refusal
 
 #: Longest wait for the response of one entry. A change makes several store calls of up
@@ -95,7 +96,7 @@
     entry: str, response: urllib3.BaseHTTPResponse
 ) -> Result[Any, Refusal]:
     try:
-        answer = json.loads(response.data)
+        answer = parse_json(response.data)
     except ValueError:
         answer = None
     if answer is not None and 200 <= response.status < 300:
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/job_check.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/job_check.py
@@ -14,6 +14,7 @@
 from pollenkeel_entry.batch.events import JobSubmitted
 from pollenkeel_entry.batch.records import TaskSpec
 from pollenkeel_kernel.core.codes import Code
+from pollenkeel_kernel.core.json_text import parse_json
 from pollenkeel_kernel.core.messages import Resources
 from pollenkeel_kernel.core.refusal import Refusal
 
@@ -97,8 +98,8 @@
         ``BAD_JOB`` with the first 5 faults, each with field, value and valid values.
     """
     try:
-        raw = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        raw = parse_json(body)
+    except ValueError as error:
         return Err(Refusal(Code.BAD_JOB, f"not JSON: {error}"[:200]))
     faults = [
         fault for fault, _ in zip(_find_faults(raw, teams), range(5), strict=False)
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/manager.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/manager.py
@@ -26,10 +26,12 @@
 from pollenkeel_entry.core.context import EntryContext
 from pollenkeel_kernel.core.codes import Code, find_code
 from pollenkeel_kernel.core.dump import to_plain
+from pollenkeel_kernel.core.json_text import parse_json
 from pollenkeel_kernel.core.logs import log_change
 from pollenkeel_kernel.core.messages import OwnerCall, OwnerReply
 from pollenkeel_kernel.core.refusal import Refusal
 from pollenkeel_kernel.policy.quarantine import QUARANTINES
+from pollenkeel_kernel.store.base import Row
 
 logger = logbook.Logger("batch.manager")
 
@@ -383,7 +385,7 @@
         now = self._context.clock.now()
         live = {self._settings.id}
         for row in rows.ok_value:
-            if json.loads(row.value).get("expires_at", 0) > now:
+            if _is_live(row, now):
                 live.add(row.key)
         return len(live)
 
@@ -498,9 +500,17 @@
 
 def _parse_job_id(body: bytes) -> Result[str, Refusal]:
     try:
-        job_id = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        job_id = parse_json(body)
+    except ValueError as error:
         return Err(Refusal(Code.BAD_MESSAGE, f"job id: {error}"[:200]))
     if not isinstance(job_id, str):
         return Err(Refusal(Code.BAD_MESSAGE, f"job id {job_id!r:.60}; expected text"))
     return Ok(job_id)
+
+
+def _is_live(row: Row, now: float) -> bool:
+    """Return whether the row of an entry has not expired; False if it is malformed."""
+    try:
+        return float(parse_json(row.value)["expires_at"]) > now
+    except (KeyError, TypeError, ValueError, OverflowError):
+        return False
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/core/config_api.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/core/config_api.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
 from typing import Any
 
@@ -25,6 +24,7 @@
 from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.http import write_json, write_refusal
 from pollenkeel_kernel.core.http_errors import read_body
+from pollenkeel_kernel.core.json_text import parse_json
 from pollenkeel_kernel.core.refusal import Refusal
 
 #: Longest wait in seconds for an accepted change to take effect at this entry. Changes
@@ -124,8 +124,8 @@
         if isinstance(body, Err):
             return body
         try:
-            members = json.loads(body.ok_value)
-        except (ValueError, RecursionError) as error:
+            members = parse_json(body.ok_value)
+        except ValueError as error:
             return _bad_request(f"not valid JSON: {error}")
         if not isinstance(members, dict) or set(members) - _OPTIONAL_MEMBERS != names:
             return _bad_request(f"expected the members {', '.join(sorted(names))}")
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/config/document.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/config/document.py
@@ -11,6 +11,7 @@
 from pollenkeel_kernel.config.merge import merge
 from pollenkeel_kernel.config.model import ClusterConfig, ConfigDocument
 from pollenkeel_kernel.core.codes import Code
+from pollenkeel_kernel.core.json_text import parse_json
 from pollenkeel_kernel.core.refusal import Refusal
 from pollenkeel_kernel.core.settings import structure_checked
 
@@ -54,8 +55,8 @@
         Code 5001 if the body is not a valid document.
     """
     try:
-        members = json.loads(_decompress(body))
-    except (ValueError, RecursionError, zlib.error) as error:
+        members = parse_json(_decompress(body))
+    except (ValueError, zlib.error) as error:
         return _bad_config(f"not a compressed JSON document: {error}")
     if not isinstance(members, dict) or set(members) != _MEMBER_NAMES:
         return _bad_config(f"expected the members {', '.join(sorted(_MEMBER_NAMES))}")
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/config/head.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/config/head.py
@@ -23,6 +23,7 @@
 from pollenkeel_kernel.config.model import ConfigDocument
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.codes import Code
+from pollenkeel_kernel.core.json_text import parse_json
 from pollenkeel_kernel.core.refusal import Refusal
 from pollenkeel_kernel.core.settings import structure_checked
 from pollenkeel_kernel.store.base import Backend, Put
@@ -128,8 +129,8 @@
 def decode_head(value: bytes) -> Result[Head, Refusal]:
     """Decode the value of the head row; code 9000 if it is corrupted."""
     try:
-        fields = json.loads(value)
-    except (ValueError, RecursionError) as error:
+        fields = parse_json(value)
+    except ValueError as error:
         return Err(Refusal(Code.INTERNAL, f"row {KEY} is damaged: {error}"[:200]))
     return structure_checked(fields, Head, f"row {KEY}").map_err(
         lambda faults: Refusal(Code.INTERNAL, "; ".join(faults))
