--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -56,6 +56,9 @@
 #: Number of revoked runs that are kept per incarnation of the worker; beyond that the
 #: oldest is dropped.
 _MAX_REVOKED_RUNS = 2000
+#: Largest difference by which the clock of a worker may be ahead, in seconds. A start
+#: time further in the future would make all later announcements out of date.
+_MAX_CLOCK_AHEAD_SECONDS = 3600.0
 #: Number of crashes of the worker that are kept for the reports.
 _MAX_CRASHES = 4
 _ORDER_THREADS = 4
@@ -135,7 +138,17 @@
     # Worker announcements.
 
     def record_announcement(self, announcement: WorkerAnnouncement) -> bool:
-        """Record an announcement of the worker; return False if it is out of date."""
+        """Record an announcement of the worker.
+
+        Returns False if it is out of date, or if its start time is in the future.
+        """
+        latest_start = self._clock.now() + _MAX_CLOCK_AHEAD_SECONDS
+        if announcement.born > latest_start * 1000:
+            logger.warning(
+                "announcement from the future rejected",
+                extra={"worker": announcement.worker_id, "born": announcement.born},
+            )
+            return False
         with self._lock:
             state = self._state
             if state is not None:
--- a/tests/contracts/test_platform_odd_entries.py
+++ b/tests/contracts/test_platform_odd_entries.py
@@ -1,11 +1,27 @@
 """Guards against entries of other writers that end a process or stop a reader."""
 
+import pytest
+from result import Ok
+
+from pollenkeel_jobs.core.agent import VmAgent
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.tables import Row
+from pollenkeel_kernel.core.clock import ManualClock
 from pollenkeel_platform import api
-from pollenkeel_platform.http import JsonClient
+from pollenkeel_platform.http import JsonClient, Reply
 from pollenkeel_platform.operator import PlatformOperationsDecoder
+from pollenkeel_platform.store import PlatformTables
+from pollenkeel_platform.worker import _decode_lists, decode_announcement
 
+HEARTBEAT = {
+    "Backend": "desk",
+    "Zone": "z1",
+    "State": "ready",
+    "Capacity": {"Cpu": 16000, "MemMb": 32768, "Gpu": 0},
+    "Labels": ["a", "r1-3"],
+    "Seq": 4,
+    "born": 1_700_000_000_000,
+}
 DEEP = b"[" * 100_000
 
 
@@ -36,3 +52,81 @@
     rows = [Row("op", "config", DEEP, 3), Row("op", "evacuate/z1", b"{}", 4)]
     decoded = PlatformOperationsDecoder().decode(rows, Operations(2))
     assert decoded == Operations(2, closed_zones=frozenset({"z1"}))
+
+
+def read_rows(monkeypatch, rows):
+    """Return the page that a reply of the store with these rows is decoded to."""
+    tables = PlatformTables("127.0.0.1:1")
+    reply = Reply(200, {"rows": rows, "Ver": 9})
+    monkeypatch.setattr(tables._client, "call", lambda *_, **__: Ok(reply))
+    return tables.read("", "t").unwrap()
+
+
+GOOD_ROW = {"Table": "t", "Key": "good", "Ver": 3, "Value": "eA=="}
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        {**GOOD_ROW, "Ver": float("inf")},
+        {**GOOD_ROW, "Ver": None},
+        {**GOOD_ROW, "Value": "not base64"},
+        {**GOOD_ROW, "Value": 7},
+        {"Key": "no version"},
+        "text",
+        None,
+    ],
+)
+def test_odd_row_is_left_out_and_the_others_used(monkeypatch, row):
+    """Guards against one row that ends the reader of the whole table."""
+    page = read_rows(monkeypatch, [row, GOOD_ROW])
+    assert [found.value for found in page.rows] == [b"x"]
+
+
+def test_rows_that_are_no_list_count_as_none(monkeypatch):
+    """Guards against a reply that ends its reader."""
+    assert read_rows(monkeypatch, 7).rows == ()
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Capacity": {"Cpu": 10**30, "MemMb": 1}},
+        {"Capacity": {"Cpu": float("inf"), "MemMb": 1}},
+        {"Capacity": {"Cpu": -1, "MemMb": 1}},
+        {"Seq": 10**30},
+        {"born": 10**30},
+        {"born": float("inf")},
+    ],
+)
+def test_heartbeat_with_a_number_too_large_is_rejected(change):
+    """Guards against a report that can't be encoded, which ended the agent."""
+    assert decode_announcement("w", HEARTBEAT) is not None
+    assert decode_announcement("w", {**HEARTBEAT, **change}) is None
+
+
+def test_heartbeat_from_the_future_does_not_hide_later_ones():
+    """Guards against a worker that stays unknown until the end of its agent."""
+    clock = ManualClock()
+    agent = VmAgent("vm-1", clock, worker=None)
+    now = int(clock.now() * 1000)
+    for born, expected in ((now + 10**9, False), (now, True), (now + 10**9, False)):
+        announcement = decode_announcement("w", {**HEARTBEAT, "born": born})
+        assert agent.record_announcement(announcement) is expected
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Running": [["j.0.0.0", float("inf"), "", 50]]},
+        {"Running": [["j.0.0.0", "x", "", 50]]},
+        {"Ended": [[float("inf"), "j.0.0.1", 1, "done", ""]]},
+        {"ClockMs": 10**400},
+    ],
+    ids=["run", "text", "number of an end", "clock"],
+)
+def test_lists_with_an_odd_run_are_no_lists(change):
+    """A run that is left out of the lists would be started a second time."""
+    body = {"ClockMs": 5, "Running": [], "Ended": []}
+    assert _decode_lists(Reply(200, body)).is_ok()
+    assert _decode_lists(Reply(200, {**body, **change})).is_err()
