Check the types of the fields in the leader's own rows

A row of progress with a run number that is no integer was loaded, and the pass that used it ended the term; each entry that became leader next loaded the same row. A lease row with a number as holder ended the thread that reads it, and a learnt weight that is no finite number reached the placement.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/interference_model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/interference_model.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Iterator, Set
 
 import attrs
@@ -173,6 +174,8 @@
                     continue
                 model = _ImageModel()
                 for name, weight in weights:
+                    if type(name) is not str or not math.isfinite(weight):
+                        raise ValueError(f"weight {weight!r:.40} of {name!r:.40}")
                     model.images.add(name)
                     model.regression.set_weight(name, weight, _LOADED_VARIANCE)
                 self._models_by_image[image] = model
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -91,8 +91,16 @@
 
     @classmethod
     def decode(cls, row: Row) -> LeaseRecord:
-        """Return the record stored in a row, with its epoch."""
+        """Return the record stored in a row, with its epoch.
+
+        Raises an exception if the row is malformed.
+        """
         record = cls(*msgpack.unpackb(row.value or b""))
+        for field in attrs.fields(cls):
+            value = getattr(record, field.name)
+            expected = int if field.name in ("epoch", "write") else str
+            if type(value) is not expected:
+                raise TypeError(f"{field.name} is {value!r:.40}")
         return record if record.epoch else attrs.evolve(record, epoch=row.version)
 
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from typing import Any, cast
 
 import attrs
@@ -91,6 +92,16 @@
         raise ValueError(f"{name} is {value!r:.40}; expected an integer >= {least}")
 
 
+def _decode_crashes(workers: Iterable[object] = ()) -> set[str]:
+    return {_check_text("crashed worker", worker) for worker in workers}
+
+
+def _check_text(name: str, value: object) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{name} is {value!r:.40}; expected a string")
+    return value
+
+
 def _check_seconds(name: str, value: object) -> None:
     if type(value) not in (int, float) or not 0 <= cast(float, value) < math.inf:
         raise ValueError(f"{name} is {value!r:.40}; expected a finite number >= 0")
@@ -157,7 +168,7 @@
 
 def _apply_fields(job: Job, fields: list[Any]) -> None:
     job.status = job.recorded_status = JobStatus(fields[0])
-    job.cancelled = fields[1]
+    job.cancelled = bool(fields[1])
     if job.status.final:
         return
     job.started, runners, steps = fields[2:]
@@ -165,10 +176,14 @@
         if not job.has_occurrence(occurrence):
             job.add_occurrence(occurrence)
         for task, row in zip(job.tasks_by_step[occurrence, step], rows, strict=True):
-            state, task.run, task.failures, runner, task.checkpoint, *crashes = row
+            state, run, failures, runner, checkpoint, *crashes = row
+            _check_count("run", run, 0)
+            _check_count("failures", failures, 0)
             task.state = TaskState(state)
-            task.runner = runners[runner]
-            task.crashed_on = set(*crashes)
+            task.run, task.failures = run, failures
+            task.runner = _check_text("runner", runners[runner])
+            task.checkpoint = _check_text("checkpoint", checkpoint)
+            task.crashed_on = _decode_crashes(*crashes)
 
 
 def _encode_step(step: StepSpec) -> dict[str, Any]:
