Go on after an odd address or an unexpected error in a loop

An odd entry with an invalid address ended its reader: a row of the table of VMs whose address can't be dialled raised in the leader's thread that polls it, so that the leader found no further VM for the rest of its term; a lease row with such an address raised in the thread of the election, and the entry took part in none any more. Any unexpected error in the poll of a worker ended the agent's process, and one in a feed its thread.

PeerClient.open returns None for an address that can't be dialled, and logs it; a member row that was left out is looked at again only when it changes. run_step keeps the election, the poll of the worker, the feeds, the list of members and the advice going after an error, which is logged with its traceback. A port of 99999 is taken by the dialler and just never connects.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -35,6 +35,7 @@
 )
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.codes import Code
+from pollenkeel_kernel.core.guard import run_step
 from pollenkeel_kernel.core.logs import log_change
 from pollenkeel_kernel.core.messages import ErrorReply, Message
 from pollenkeel_kernel.core.transport import PeerClient, is_answered
@@ -227,7 +228,7 @@
         self._epoch = message.epoch
         if self._leader is not None:
             self._leader.close()
-        self._leader = PeerClient(message.leader, self._clock)
+        self._leader = PeerClient.open(message.leader, self._clock)
         # The poll loop may be blocked in a long poll; a new leader needs the worker's
         # state at once.
         self._order_pool.submit(self._poll_worker, 0.0)
@@ -336,11 +337,15 @@
         """Poll the worker and report to the leader until ``stop`` is set."""
         while not stop.is_set():
             poll_started_at = self._clock.now()
-            self._poll_worker(_POLL_SECONDS)
+            if not run_step(self._poll_once, logger, "poll of the worker failed"):
+                stop.wait(_RETRY_SECONDS)
             if self._clock.now() - poll_started_at < _MIN_POLL_INTERVAL:
                 stop.wait(_MIN_POLL_INTERVAL)
         self._order_pool.shutdown(wait=False, cancel_futures=True)
 
+    def _poll_once(self) -> None:
+        self._poll_worker(_POLL_SECONDS)
+
     def _poll_worker(self, seconds: float) -> None:
         """Poll the worker and report its state to the leader.
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/contact.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/contact.py
@@ -94,5 +94,5 @@
             if self._peer is None or self._peer.address != leader.address:
                 if self._peer is not None:
                     self._peer.close()
-                self._peer = PeerClient(leader.address, self._clock)
+                self._peer = PeerClient.open(leader.address, self._clock)
             return self._peer
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -21,6 +21,7 @@
 from pollenkeel_jobs.core.tables import TableService
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.codes import Code
+from pollenkeel_kernel.core.guard import run_step
 from pollenkeel_kernel.core.messages import ErrorReply, Message
 from pollenkeel_kernel.core.transport import ReplyServer
 
@@ -124,9 +125,13 @@
             (self._await_successor, (stop, stopped)),
         ):
             threading.Thread(target=target, args=args, daemon=True).start()
-        while not stop.is_set():
+
+        def take_part() -> None:
             if self._leadership.observe(self._query_leader):
                 self._lead(stopped)
+
+        while not stop.is_set():
+            run_step(take_part, logger, "look at the lease failed")
             stop.wait(_LEASE_POLL_SECONDS)
         stopped.set()
         self._leadership.resign()
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -54,6 +54,7 @@
 )
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.clock import Clock
+from pollenkeel_kernel.core.guard import run_step
 from pollenkeel_kernel.core.logs import log_change
 from pollenkeel_kernel.core.messages import Message
 from pollenkeel_kernel.core.transport import PeerClient
@@ -91,10 +92,10 @@
 class VmOrderSender:
     """Sends orders to the agent of one VM from a dedicated thread."""
 
-    def __init__(self, term: Term, vm: Vm) -> None:
+    def __init__(self, term: Term, vm: Vm, peer: PeerClient) -> None:
         self._term = term
         self._vm = vm
-        self._peer = PeerClient(vm.address, term.clock)
+        self._peer = peer
         self._condition = threading.Condition()
         self._work = OrderBatch(vm)
         threading.Thread(target=self._run, name=f"vm-{vm.name}", daemon=True).start()
@@ -113,7 +114,7 @@
 
     def _run(self) -> None:
         # Announces this leader to the agent at once.
-        self._send(OrderBatch(self._vm))
+        self._try_to_send(OrderBatch(self._vm))
         while not self._term.over.is_set():
             with self._condition:
                 if not self._work.starts and not self._work.stops:
@@ -214,6 +215,7 @@
         self.scheduler = Scheduler(leadership.epoch, clock, self._harm)
         self._tables = tables
         self._senders_by_vm: dict[Vm, VmOrderSender] = {}
+        self._member_values_by_name: dict[str, bytes] = {}
         self._advice = advice
         self._loaded = False
         self._next_cleanup_at = clock.now() + _CLEANUP_INTERVAL
@@ -336,47 +338,65 @@
     def _fetch_advice(self) -> None:
         """Query the advice service for steps that wait for tickets, one at a time."""
         while not self.over.is_set():
-            question = self.scheduler.pop_question()
-            if question is None:
-                self.over.wait(_ADVICE_POLL_INTERVAL)
-                continue
-            asked_at = self.clock.now()
-            advice = self._advice.ask(question)
-            if isinstance(advice, Err):
-                logger.warning(
-                    "advice request failed",
-                    extra={"step": question.step_id, "cause": advice.err_value},
-                )
-                continue
-            self.scheduler.store_advice(question, advice.ok_value, asked_at)
+            if not run_step(self._ask_one_question, logger, "advice request failed"):
+                self.over.wait(_RETRY_SECONDS)
+
+    def _ask_one_question(self) -> None:
+        question = self.scheduler.pop_question()
+        if question is None:
+            self.over.wait(_ADVICE_POLL_INTERVAL)
+            return
+        asked_at = self.clock.now()
+        advice = self._advice.ask(question)
+        if isinstance(advice, Err):
+            logger.warning(
+                "advice request failed",
+                extra={"step": question.step_id, "cause": advice.err_value},
+            )
+            return
+        self.scheduler.store_advice(question, advice.ok_value, asked_at)
 
     # Feeds.
 
     def _follow_table(self, table: str) -> None:
         """Apply jobs or cancellations from the change feed of ``table``."""
         after = self._versions[table]
-        while not self.over.is_set():
-            page = self._tables.watch(table, after, _WATCH_SECONDS)
-            if not isinstance(page, Err):
-                found = page.ok_value
-            elif page.err_value.kind is FailureKind.HISTORY_GONE:
-                log_change(
-                    logger,
-                    "change history no longer available; reading the whole table",
-                    table=table,
-                )
-                try:
-                    found = self._read_intake(table, self.over)
-                except LeadershipLost:
-                    return
-            else:
+
+        def follow() -> None:
+            nonlocal after
+            found = self._read_changes(table, after)
+            if found is None:
                 self.over.wait(_RETRY_SECONDS)
-                continue
+                return
             for row in found.rows:
                 if row.value is not None:
                     self.apply_row(row.key, row.value if table == JOBS else b"")
             after = max(after, found.version)
 
+        while not self.over.is_set():
+            if not run_step(follow, logger, "changes cannot be read"):
+                self.over.wait(_RETRY_SECONDS)
+
+    def _read_changes(self, table: str, after: int) -> Page | None:
+        """Return the changes of a table after a version, or None on failure.
+
+        If its history is gone, the whole table is returned.
+        """
+        page = self._tables.watch(table, after, _WATCH_SECONDS)
+        if not isinstance(page, Err):
+            return page.ok_value
+        if page.err_value.kind is not FailureKind.HISTORY_GONE:
+            return None
+        log_change(
+            logger,
+            "change history no longer available; reading the whole table",
+            table=table,
+        )
+        try:
+            return self._read_intake(table, self.over)
+        except LeadershipLost:
+            return None
+
     def apply_row(self, job_id: str, row: bytes) -> None:
         """Add a stored job, or cancel the job if ``row`` is empty.
 
@@ -397,18 +417,24 @@
     def _poll_members(self) -> None:
         """Add the VMs of the member table until the term ends."""
         while not self.over.is_set():
-            page = self._tables.read_all(MEMBER_PARTITION, MEMBERS)
-            if isinstance(page, Err):
-                logger.warning(
-                    "members cannot be read",
-                    extra={"cause": page.err_value.detail},
-                )
-            else:
-                for row in page.ok_value.rows:
-                    self._add_member(row.key, row.value or b"")
+            run_step(self._read_members, logger, "members cannot be added")
             self.over.wait(_MEMBER_INTERVAL)
 
+    def _read_members(self) -> None:
+        page = self._tables.read_all(MEMBER_PARTITION, MEMBERS)
+        if isinstance(page, Err):
+            logger.warning(
+                "members cannot be read", extra={"cause": page.err_value.detail}
+            )
+            return
+        for row in page.ok_value.rows:
+            self._add_member(row.key, row.value or b"")
+
     def _add_member(self, name: str, value: bytes) -> None:
+        """Add the VM of a member row; an odd row is left out and logged once."""
+        if self._member_values_by_name.get(name) == value:
+            return
+        self._member_values_by_name[name] = value
         try:
             address = str(msgpack.unpackb(value)[0])
         except Exception as error:
@@ -416,10 +442,16 @@
                 "member row cannot be decoded", extra={"vm": name, "cause": str(error)}
             )
             return
+        peer = PeerClient.open(address, self.clock)
+        if peer is None:
+            return
         vm = self.scheduler.add_vm(name, address)
-        if vm not in self._senders_by_vm:
-            log_change(logger, "agent discovered", vm=name, address=address)
-            self._senders_by_vm[vm] = VmOrderSender(self, vm)
+        if vm in self._senders_by_vm:
+            # The sender opens its own connection when it finds the new address.
+            peer.close()
+            return
+        log_change(logger, "agent discovered", vm=name, address=address)
+        self._senders_by_vm[vm] = VmOrderSender(self, vm, peer)
 
     # Messages.
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
@@ -13,6 +13,7 @@
 from pollenkeel_jobs.core.model import QueuePolicy
 from pollenkeel_jobs.core.tables import FailureKind, Row, TableService
 from pollenkeel_kernel.core.clock import Clock
+from pollenkeel_kernel.core.guard import run_step
 from pollenkeel_kernel.core.logs import log_change
 
 logger = logbook.Logger("operations")
@@ -100,32 +101,41 @@
         self._clock = clock
         self._rows_by_key: dict[str, Row] = {}
         self._has_undecoded_rows = False
+        self._after = -1
+        self._stop = threading.Event()
         self.current = Operations()
         self.confirmed_at = 0.0
 
     def run(self, stop: threading.Event) -> None:
         """Follow the table until ``stop`` is set."""
-        after = -1
+        self._after = -1
+        self._stop = stop
         while not stop.is_set():
-            began = self._clock.now()
-            if after < 0:
-                page = self._tables.read_all("", self._table)
+            if not run_step(self._follow, logger, "operators' table cannot be read"):
+                stop.wait(_RETRY_SECONDS)
+
+    def _follow(self) -> None:
+        """Read the table, or its next changes, and apply them."""
+        began = self._clock.now()
+        is_full_read = self._after < 0
+        if is_full_read:
+            page = self._tables.read_all("", self._table)
+        else:
+            page = self._tables.watch(self._table, self._after, _WATCH_SECONDS)
+        if isinstance(page, Err):
+            if page.err_value.kind is FailureKind.HISTORY_GONE:
+                self._after = -1
             else:
-                page = self._tables.watch(self._table, after, _WATCH_SECONDS)
-            if isinstance(page, Err):
-                if page.err_value.kind is FailureKind.HISTORY_GONE:
-                    after = -1
-                else:
-                    stop.wait(_RETRY_SECONDS)
-                continue
-            found = page.ok_value
-            if after < 0:
-                self._rows_by_key.clear()
-            self._apply_rows(found.rows, after < 0)
-            if not self._has_undecoded_rows:
-                # An empty reply also confirms that there were no further changes.
-                self.confirmed_at = began
-            after = max(after, found.version)
+                self._stop.wait(_RETRY_SECONDS)
+            return
+        found = page.ok_value
+        if is_full_read:
+            self._rows_by_key.clear()
+        self._apply_rows(found.rows, is_full_read)
+        if not self._has_undecoded_rows:
+            # An empty reply also confirms that there were no further changes.
+            self.confirmed_at = began
+        self._after = max(self._after, found.version)
 
     def _apply_rows(self, rows: Iterable[Row], is_full_read: bool) -> None:
         """Merge rows into the cached table and decode the configuration again."""
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/transport.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/transport.py
@@ -209,6 +209,21 @@
         )
         self._dialer = self._socket.dial(address, block=False)
 
+    @classmethod
+    def open(cls, address: str, clock: Clock) -> PeerClient | None:
+        """Return a client, or None if the address is invalid, which is logged.
+
+        Addresses come from rows and messages that any writer may have written.
+        """
+        try:
+            return cls(address, clock)
+        except (pynng.exceptions.NNGException, TypeError, ValueError) as error:
+            logger.warning(
+                "invalid peer address",
+                extra={"address": str(address)[:80], "cause": str(error)},
+            )
+            return None
+
     def call(
         self, message: Message, deadline: float, connect_deadline: float | None = None
     ) -> Result[Message, Refusal]:
