Send no start to a VM whose capacity has shrunk below what is placed on it

A worker's capacity may shrink while tasks run there (LIMIT). A new capacity kept further placements away at once, but starts that were planned before it arrived were still sent after it: the check before sending looked at everything but the room. What is being stopped counts until its end is listed, as before.

test_start_is_not_sent_after_the_capacity_has_shrunk failed before.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -576,7 +576,10 @@
             return orders, payloads_by_job
 
     def _is_start_valid(self, vm: Vm, start: PlannedStart) -> bool:
-        """Return whether a planned start still applies and may be sent now."""
+        """Return whether a planned start still applies and may be sent now.
+
+        The capacity of the VM may have shrunk below what is placed on it.
+        """
         task = start.task
         return (
             vm.tasks_by_id.get(task.task_id) is task
@@ -585,6 +588,7 @@
             and not task.job.status.final
             and not vm.draining
             and self._fleet.is_open(vm.zone)
+            and vm.has_room_for(Demand())
         )
 
     # Passes.
