Reserve the ports of the test site while their processes are down

Cause: the kernel gave the port to another process while the agent was down.

Each port of a process is now bound, without listening, by the site that runs the process for as long as the site exists; servers with SO_REUSEADDR listen on it beside that, and the kernel gives it to nobody else.

--- a/standins/pollenkeel_standins/cluster.py
+++ b/standins/pollenkeel_standins/cluster.py
@@ -13,6 +13,7 @@
 import urllib3
 import yaml
 
+from pollenkeel_standins.ports import PortReservations
 from pollenkeel_standins.processes import ManagedProcess, wait_until
 from pollenkeel_standins.recording import Execution, read_record
 
@@ -37,6 +38,7 @@
         self.processes_by_name: dict[str, ManagedProcess] = {}
         self._settings_by_name: dict[str, dict[str, Any]] = {}
         self._earlier_processes: list[ManagedProcess] = []
+        self._ports = PortReservations()
         self._http = urllib3.PoolManager(
             retries=False, timeout=urllib3.Timeout(total=_CALL_TIMEOUT_SECONDS)
         )
@@ -52,6 +54,7 @@
         """Kill every process that still runs, frozen ones included."""
         for process in [*self._earlier_processes, *self.processes_by_name.values()]:
             process.kill()
+        self._ports.close()
         atexit.unregister(self.close)
 
     def stop_all(self, limit: float = 40.0) -> dict[str, int]:
@@ -208,6 +211,7 @@
         self, name: str, kind: str, options: dict[str, Any]
     ) -> ManagedProcess:
         command = [sys.executable, "-m", "pollenkeel_standins", kind]
+        options = {"port": self._ports.reserve(), **options}
         for option, value in options.items():
             command += [f"--{option.replace('_', '-')}", str(value)]
         return self.start(name, command)
@@ -215,6 +219,10 @@
     def _start_daemon(
         self, name: str, role: str, settings: dict[str, Any]
     ) -> ManagedProcess:
+        if not settings["http"].get("port"):
+            port = self._ports.reserve()
+            settings["http"] = {**settings["http"], "port": port}
+        settings.setdefault("listen", f"tcp://127.0.0.1:{self._ports.reserve()}")
         self._settings_by_name[name] = settings
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
