Move crash evidence, placement logs and the simulated load to modules of their own

The load, its interference and results are in shared_load.py. No decision changes; the tests of the jobs package pass.

--- a/benchmarks/best_effort_tasks.py
+++ b/benchmarks/best_effort_tasks.py
@@ -11,7 +11,8 @@
 import sys
 from concurrent.futures import ProcessPoolExecutor
 
-from pollenkeel_standins.shared_vms import LoadSettings, SharedFleet
+from pollenkeel_standins.shared_load import LoadSettings
+from pollenkeel_standins.shared_vms import SharedFleet
 
 #: Number of simulations that run at the same time.
 PROCESSES = 2
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
@@ -7,7 +7,14 @@
 import logbook
 
 from pollenkeel_jobs.core.metrics import JOB_OBJECTIVE_RATIO, JOBS_ENDED, RUNS_LOST
-from pollenkeel_jobs.core.model import Job, JobSpec, JobStatus, Task, TaskState
+from pollenkeel_jobs.core.model import (
+    Job,
+    JobSpec,
+    JobStatus,
+    Task,
+    TaskState,
+    parse_task_id,
+)
 from pollenkeel_jobs.core.records import RecordError, apply_progress, decode_job
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.logs import log_change
@@ -86,6 +93,12 @@
         """Return the job with this id, or None."""
         return self._jobs_by_id.get(job_id)
 
+    def find_task(self, task_id: str) -> Task | None:
+        """Return the task with this id, or None if its job or the task is unknown."""
+        parsed = parse_task_id(task_id)
+        job = self.find(parsed[0]) if parsed else None
+        return job.task(parsed[1]) if job is not None and parsed else None
+
     def record_early_cancellation(self, job_id: str) -> None:
         """Record the cancellation of a job that has not been received yet.
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/wait_log.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement_log.py
@@ -1,4 +1,4 @@
-"""Log lines that say why the tasks of a step wait for a VM."""
+"""Log lines that explain placements: why steps wait, and what is learnt."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 
 import logbook
 
+from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.logs import log_change
@@ -77,3 +78,24 @@
         ]
         for step in ended:
             del self._next_line_at_by_step[step]
+
+
+def log_interference(interference: InterferenceModel, vms: Iterable[Vm]) -> None:
+    """Log what limits the placement of best-effort tasks."""
+    milli = 1000
+    log_change(
+        logger,
+        "interference recorded",
+        weights=interference.describe(),
+        headroom_by_vm={
+            vm.name: {
+                image: round(headroom, 2)
+                for image, headroom in vm.headroom_by_image.items()
+            }
+            for vm in vms
+        },
+        best_effort_cores_by_vm={
+            vm.name: round(sum(vm.best_effort_cpu_by_image.values()) / milli, 1)
+            for vm in vms
+        },
+    )
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -13,6 +13,7 @@
 import logbook
 
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketCache
+from pollenkeel_jobs.core.crashes import TRIAL_SECONDS, record_crash
 from pollenkeel_jobs.core.fleet import Fleet
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
@@ -23,7 +24,6 @@
     StartOrder,
     VmReport,
     VmReportReply,
-    WorkerCrash,
 )
 from pollenkeel_jobs.core.metrics import RUNS_ENDED, RUNS_PLACED, WAIT_SECONDS
 from pollenkeel_jobs.core.migration import Migration
@@ -40,6 +40,7 @@
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.passes import OrderBatch, Pass, PlannedStart, RecordedEnds
 from pollenkeel_jobs.core.placement import LeastLoaded
+from pollenkeel_jobs.core.placement_log import WaitLog, log_interference
 from pollenkeel_jobs.core.progress import (
     has_stalled,
     update_best_effort_use,
@@ -52,7 +53,6 @@
 from pollenkeel_jobs.core.stops import StopOrderQueue
 from pollenkeel_jobs.core.tables import RowWrite
 from pollenkeel_jobs.core.vms import Vm, make_profile
-from pollenkeel_jobs.core.wait_log import WaitLog
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.logs import log_change
 
@@ -62,12 +62,6 @@
 _JOBS_PER_COMMIT = 60
 #: Seconds after its placement at which a run that the worker does not list is revoked.
 _UNLISTED_RUN_SECONDS = 1.5
-#: Number of crashes of workers after which a task is given up: if it was the only one
-#: that had just been started at the last crash, and if there were others.
-_MAX_CRASHES_ALONE = 2
-_MAX_CRASHES = 3
-#: Seconds for which a worker must run a suspected task before it gets other tasks.
-_TRIAL_SECONDS = 1.0
 #: Seconds between two searches for tasks to migrate.
 _MIGRATION_INTERVAL = 0.4
 #: Seconds between two writes of the learned interference weights.
@@ -276,7 +270,9 @@
             for task in self._fleet.begin_incarnation(vm, report.worker):
                 self._requeue(task, "worker restarted")
         for crash in report.crashes:
-            self._record_crash(vm, crash)
+            for task in record_crash(self._jobs, crash):
+                if not task.job.status.final:
+                    self._finish(task.job, JobStatus.FAILED)
         vm.service = report.service
         vm.zone = report.zone
         vm.capacity = report.capacity
@@ -292,38 +288,6 @@
                 vm.name, report.running, vm.profiles_by_task, vm.capacity.cpu, now
             )
 
-    def _record_crash(self, vm: Vm, crash: WorkerCrash) -> None:
-        """Record a crash with the tasks that may have caused it.
-
-        A crash is reported repeatedly, also to later leaders; it counts once.
-        """
-        for run in crash.suspects:
-            parsed = parse_task_id(run.task_id)
-            job = self._jobs.find(parsed[0]) if parsed else None
-            task = job.task(parsed[1]) if job is not None and parsed else None
-            if task is None or task.job.status.final or task.state is TaskState.DONE:
-                continue
-            if crash.worker in task.crashed_on:
-                continue
-            task.crashed_on.add(crash.worker)
-            self._jobs.dirty[task.job] = None
-            crashes = len(task.crashed_on)
-            alone = len(crash.suspects) == 1
-            given_up = crashes >= (_MAX_CRASHES_ALONE if alone else _MAX_CRASHES)
-            log_change(
-                logger,
-                "task suspected of a crash",
-                task=run.task_id,
-                run=run.run,
-                vm=vm.name,
-                worker=crash.worker,
-                suspects=len(crash.suspects),
-                crashes=crashes,
-                given_up=given_up,
-            )
-            if given_up:
-                self._finish(task.job, JobStatus.FAILED)
-
     def _apply_run_lists(self, vm: Vm, report: VmReport, now: float) -> None:
         """Update tasks from the runs that the worker lists.
 
@@ -343,7 +307,7 @@
                 continue
             self._jobs.mark_started(task.job)
             update_run(task, running, report.paced, now)
-            if vm.trial is task and now - task.seen_at >= _TRIAL_SECONDS:
+            if vm.trial is task and now - task.seen_at >= TRIAL_SECONDS:
                 vm.trial = None
             if has_stalled(task, now):
                 self._stop_stalled(vm, task, now)
@@ -418,9 +382,7 @@
     def _process_end(self, vm: Vm, ended: EndedTask, now: float) -> None:
         """Finish, fail or requeue a task according to how its run ended."""
         self._stops.forget(ended.task_id, ended.run)
-        parsed = parse_task_id(ended.task_id)
-        job = self._jobs.find(parsed[0]) if parsed else None
-        task = job.task(parsed[1]) if job is not None and parsed else None
+        task = self._jobs.find_task(ended.task_id)
         if task is None or task.run != ended.run:
             return
         # The end may arrive after the task was requeued, for example because the
@@ -627,28 +589,9 @@
         if writes and now >= self._next_weights_write_at:
             self._next_weights_write_at = now + _WEIGHTS_WRITE_INTERVAL
             writes.append(RowWrite(HARM, HARM_KEY, self._interference.encode()))
-            self._log_interference()
+            log_interference(self._interference, self._fleet.vms())
         return tuple(writes)
 
-    def _log_interference(self) -> None:
-        """Log what limits the placement of best-effort tasks."""
-        log_change(
-            logger,
-            "interference recorded",
-            weights=self._interference.describe(),
-            headroom_by_vm={
-                vm.name: {
-                    image: round(headroom, 2)
-                    for image, headroom in vm.headroom_by_image.items()
-                }
-                for vm in self._fleet.vms()
-            },
-            best_effort_cores_by_vm={
-                vm.name: round(sum(vm.best_effort_cpu_by_image.values()) / 1000, 1)
-                for vm in self._fleet.vms()
-            },
-        )
-
     def _collect_orders(self) -> list[OrderBatch]:
         """Return the stops, and the starts whose placement is recorded with this pass.
 
--- a/packages/pollenkeel-jobs/tests/core/test_sharing.py
+++ b/packages/pollenkeel-jobs/tests/core/test_sharing.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from pollenkeel_standins.shared_vms import LoadSettings, SharedFleet
+from pollenkeel_standins.shared_load import LoadSettings
+from pollenkeel_standins.shared_vms import SharedFleet
 
 SEEDS = range(10)
 #: Share of the total worth of the best-effort jobs that callers expect to earn, at the
