Hold the dispatch in the relay until the test has killed its entry

KNOWN-RED.txt listed test_dispatch_still_in_the_network_when_its_entry_is_killed: 'it arrives' not within 20 s. Cause: the test killed the entry once the claim was written, which beside load could be before the dispatch was sent, so that none was in the network.

--- a/standins/pollenkeel_standins/relay.py
+++ b/standins/pollenkeel_standins/relay.py
@@ -53,6 +53,31 @@
             writer.close()
 
 
+class HeldData:
+    """Data that a relay holds back.
+
+    Attributes
+    ----------
+    arrived : threading.Event
+        Set once the relay has the data.
+    released : asyncio.Event
+        Set once the data may go on; belongs to the relay's loop.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.arrived = threading.Event()
+        self.released = asyncio.Event()
+        self._loop = loop
+
+    def release(self) -> None:
+        """Let the data go on."""
+        self._loop.call_soon_threadsafe(self.released.set)
+
+
+#: Data of one direction with the time at which it is due and the hold on it.
+_Queue = asyncio.Queue[tuple[float, bytes, HeldData | None]]
+
+
 class Relay:
     """Forwards TCP connections on 127.0.0.1 to a target.
 
@@ -74,6 +99,7 @@
         self._jitter = 0.0
         self._random = random.Random(seed)
         self._blocked = b""
+        self._holds_by_text: dict[bytes, HeldData] = {}
         self._connections: set[_Connection] = set()
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
@@ -123,6 +149,16 @@
         """
         self._blocked = text
 
+    def hold(self, text: bytes) -> HeldData:
+        """Hold the next data with a text, such as a key, and all that follows it.
+
+        Other connections, and the other direction of this one, are not affected. A text
+        that two reads divide is not found.
+        """
+        held = HeldData(self._loop)
+        self._holds_by_text[text] = held
+        return held
+
     def silence_established(self) -> None:
         """Make the established connections permanently silent; new ones work."""
         self._call(self._silence())
@@ -216,7 +252,7 @@
         writer: asyncio.StreamWriter,
         dropping_modes: frozenset[Mode],
     ) -> None:
-        queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue()
+        queue: _Queue = asyncio.Queue()
         sender = asyncio.create_task(
             self._send(connection, queue, writer, dropping_modes)
         )
@@ -228,25 +264,36 @@
                 wait = self._delay + self._random.uniform(0.0, self._jitter)
                 # As in TCP, data must not overtake earlier data.
                 due = max(due, self._loop.time() + wait)
-                queue.put_nowait((due, data))
-            queue.put_nowait((due, b""))
+                queue.put_nowait((due, data, self._pop_hold(data)))
+            queue.put_nowait((due, b"", None))
             await sender
         except OSError:
             pass
         finally:
             sender.cancel()
 
+    def _pop_hold(self, data: bytes) -> HeldData | None:
+        """Return the hold that data is subject to; it applies to no later data."""
+        for text, held in self._holds_by_text.items():
+            if text in data:
+                del self._holds_by_text[text]
+                held.arrived.set()
+                return held
+        return None
+
     async def _send(
         self,
         connection: _Connection,
-        queue: asyncio.Queue[tuple[float, bytes]],
+        queue: _Queue,
         writer: asyncio.StreamWriter,
         dropping_modes: frozenset[Mode],
     ) -> None:
         with contextlib.suppress(OSError):
             while True:
-                due, data = await queue.get()
+                due, data, held = await queue.get()
                 await asyncio.sleep(max(0.0, due - self._loop.time()))
+                if held is not None:
+                    await held.released.wait()
                 if connection.muted or self._mode in dropping_modes:
                     # Dropped data leaves a gap in the stream, so this direction never
                     # carries data again. In ``ONE_WAY`` mode the other direction must
--- a/standins/tests/test_relay.py
+++ b/standins/tests/test_relay.py
@@ -39,6 +39,24 @@
         assert client.recv(10) == b""
 
 
+def test_held_data_waits_for_its_release(relay, target):
+    client, server = connect(relay, target)
+    other, other_server = connect(relay, target)
+    held = relay.hold(b"key")
+    with client, server, other, other_server:
+        client.sendall(b"a key")
+        assert held.arrived.wait(5)
+        other.sendall(b"another key")
+        assert other_server.recv(20) == b"another key"
+        client.close()
+        server.settimeout(0.2)
+        with pytest.raises(TimeoutError):
+            server.recv(20)
+        held.release()
+        server.settimeout(5)
+        assert server.recv(20) == b"a key"
+
+
 def test_established_connections_go_silent_and_new_ones_work(relay, target):
     client, server = connect(relay, target)
     relay.silence_established()
--- a/tests/proofs/test_at_most_once.py
+++ b/tests/proofs/test_at_most_once.py
@@ -277,15 +277,16 @@
     with open_harness(tmp_path, data_centres=("kingston",)) as harness:
         order = Order(harness, "van-3")
         relay = harness.relay("vm-kingston")
-        relay.set_delay(1.2)
+        dispatch = relay.hold(b"van-3")
         first = order.send(0, within=4.0)
-        wait_until(lambda: _find_claims(harness), WAIT_SECONDS, "the claim is written")
-        relay.set_delay(0.0)
+        wait_until(dispatch.arrived.is_set, WAIT_SECONDS, "the dispatch is on its way")
+        assert _find_claims(harness)
         order.entries[0].kill()
         assert first.result().outcome == "broken"
         repeat_until(order, {"answered"})
         # The relay keeps the order of data, so the delayed dispatch reaches the agent
         # before the connection closes. Code 2013 is ``TOMBSTONED``.
+        dispatch.release()
         agent = harness.site.agents_by_vm["vm-kingston"]
         refused = 'pollenkeel_agent_dispatches_total{code="2013"}'
         wait_until(
