Give each call of the test site its own connection

The checks are as they were.

test_call_does_not_reuse_a_connection_that_may_be_closed fails with the pool of before.

--- a/standins/pollenkeel_standins/cluster.py
+++ b/standins/pollenkeel_standins/cluster.py
@@ -39,9 +39,7 @@
         self._settings_by_name: dict[str, dict[str, Any]] = {}
         self._earlier_processes: list[ManagedProcess] = []
         self._ports = PortReservations()
-        self._http = urllib3.PoolManager(
-            retries=False, timeout=urllib3.Timeout(total=_CALL_TIMEOUT_SECONDS)
-        )
+        self._timeout = urllib3.Timeout(total=_CALL_TIMEOUT_SECONDS)
         atexit.register(self.close)
 
     def __enter__(self) -> Self:
@@ -199,9 +197,12 @@
         """
         body = None if value is None else json.dumps(value).encode()
         headers = {"Content-Type": "application/json"} if body else {}
-        response = self._http.request(
-            method, process.url + path, body=body, headers=headers
-        )
+        # A server may close an idle connection at the moment when it is used again, so
+        # each call has its own.
+        with urllib3.PoolManager(retries=False, timeout=self._timeout) as http:
+            response = http.request(
+                method, process.url + path, body=body, headers=headers
+            )
         return response.status, json.loads(response.data or b"null")
 
     def _record_path(self, name: str) -> Path:
