Log and count what an agent makes of each heartbeat, and odd lists of runs

An announcement that is out of date is dropped without a line, so that an agent that holds one of another writer can't be seen; 'worker started' doesn't say what it replaces; nothing tells that lists come from another incarnation, are cut at their limit, or are older than those before.

Change: lines and a counter for these. No decision is changed; the worker's clock of a VM is reset with its incarnation, so that the line on older lists means one incarnation.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -24,7 +24,11 @@
     VmReportReply,
     WorkerCrash,
 )
-from pollenkeel_jobs.core.metrics import FILLING_CORES, SERVING_PRESSURE
+from pollenkeel_jobs.core.metrics import (
+    ANNOUNCEMENTS,
+    FILLING_CORES,
+    SERVING_PRESSURE,
+)
 from pollenkeel_jobs.core.pacing import Pace, PaceController
 from pollenkeel_jobs.core.start_history import StartHistory
 from pollenkeel_jobs.core.worker import (
@@ -149,16 +153,20 @@
                 "announcement from the future rejected",
                 extra={"worker": announcement.worker_id, "born": announcement.born},
             )
+            ANNOUNCEMENTS.labels("future").inc()
             return False
         with self._lock:
             state = self._state
             if state is not None:
                 known = state.announcement
                 if announcement.born < known.born:
+                    _report_out_of_date(announcement, known)
                     return False
                 if announcement.incarnation == known.incarnation:
                     if announcement.sequence < known.sequence:
+                        _report_out_of_date(announcement, known)
                         return False
+                    ANNOUNCEMENTS.labels("repeated").inc()
                     starts_draining = announcement.draining and not known.draining
                     state.announcement = announcement
                     if starts_draining:
@@ -172,7 +180,16 @@
                 if not known.draining:
                     self._record_crash(state)
             self._state = _WorkerState(announcement)
-        log_change(logger, "worker started", worker=announcement.incarnation)
+        ANNOUNCEMENTS.labels("new").inc()
+        log_change(
+            logger,
+            "worker started",
+            worker=announcement.incarnation,
+            service=announcement.service,
+            zone=announcement.zone,
+            sequence=announcement.sequence,
+            before=state.announcement.incarnation if state else None,
+        )
         self._wake.set()
         return True
 
@@ -380,6 +397,11 @@
             self._send_report(report, state)
             return
         lists = result.ok_value
+        if lists.born != state.announcement.born:
+            logger.warning(
+                "lists of another incarnation",
+                extra={"worker": state.announcement.incarnation, "born": lists.born},
+            )
         with self._lock:
             state.starts.forget((end.task_id, end.run) for end in lists.ended)
         # Only the polls of ``run`` adjust speed caps, not the one for a new leader.
@@ -513,6 +535,23 @@
                 state.withdrawn.pop((ended.task_id, ended.run), None)
 
 
+def _report_out_of_date(
+    announcement: WorkerAnnouncement, known: WorkerAnnouncement
+) -> None:
+    """Log and count an announcement that is older than the known one."""
+    ANNOUNCEMENTS.labels("out of date").inc()
+    logger.warning(
+        "announcement out of date",
+        extra={
+            "worker": announcement.incarnation,
+            "sequence": announcement.sequence,
+            "known": known.incarnation,
+            "known_sequence": known.sequence,
+            "known_service": known.service,
+        },
+    )
+
+
 def _get_outcome(start: StartOrder, call: Future[OrderOutcome]) -> OrderOutcome:
     if not call.done():
         return OrderOutcome(start.task_id, start.run, _UNKNOWN, "no reply in time")
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -134,7 +134,7 @@
                 lost += self._orphans_by_incarnation.pop(other).values()
         vm.incarnation = incarnation
         vm.fenced = False
-        vm.lease_until = 0.0
+        vm.clock = vm.lease_until = 0.0
         vm.ended_through = vm.recorded_through = 0
         # Until the first grant, runs here may hold a lease of an earlier leader.
         vm.leases_expired_at = max(
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
@@ -18,6 +18,12 @@
     ["code"],
     registry=REGISTRY,
 )
+ANNOUNCEMENTS = Counter(
+    "pollenkeel_worker_announcements",
+    "Announcements of workers, by what the agent made of them.",
+    ["result"],
+    registry=REGISTRY,
+)
 RUNS_PLACED = Counter(
     "pollenkeel_runs_placed", "Runs that were placed on a VM.", registry=REGISTRY
 )
--- /dev/null
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/report_log.py
@@ -0,0 +1,32 @@
+"""Log lines on reports whose lists of runs may be incomplete or out of order."""
+
+from __future__ import annotations
+
+import logbook
+
+from pollenkeel_jobs.core.messages import VmReport
+from pollenkeel_jobs.core.vms import Vm
+
+logger = logbook.Logger("scheduler")
+
+#: Number of ended runs in one list of a worker; further ones are in later lists.
+MAX_LISTED_ENDS = 500
+
+
+def log_odd_lists(vm: Vm, report: VmReport) -> None:
+    """Log that lists are cut, or older than those that were processed before."""
+    if len(report.ended) >= MAX_LISTED_ENDS:
+        logger.warning(
+            "list of ended runs is cut",
+            extra={"vm": vm.name, "worker": report.worker, "ends": len(report.ended)},
+        )
+    if report.clock < vm.clock:
+        logger.warning(
+            "older lists received after newer ones",
+            extra={
+                "vm": vm.name,
+                "worker": report.worker,
+                "clock": report.clock,
+                "known_clock": vm.clock,
+            },
+        )
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -49,6 +49,7 @@
 )
 from pollenkeel_jobs.core.ready_queue import Placed, ReadyQueue
 from pollenkeel_jobs.core.records import encode_progress
+from pollenkeel_jobs.core.report_log import log_odd_lists
 from pollenkeel_jobs.core.speed import VmSpeeds
 from pollenkeel_jobs.core.stops import StopOrderQueue
 from pollenkeel_jobs.core.tables import RowWrite
@@ -294,6 +295,7 @@
         Processes ended runs, stops runs that should not run here, and requeues lost
         ones.
         """
+        log_odd_lists(vm, report)
         vm.clock = report.clock
         vm.fenced = report.fenced_epoch == self.epoch
         listed = {(run.task_id, run.run) for run in report.running}
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker.py
@@ -55,11 +55,15 @@
         Runs in progress.
     ended : list of EndedTask
         Ended runs that the worker has not been told to drop.
+    born : int
+        Start time of the incarnation that made the snapshot, in milliseconds since the
+        Unix epoch; 0 if it is not stated.
     """
 
     clock: float
     running: list[RunningTask]
     ended: list[EndedTask]
+    born: int = 0
 
 
 @attrs.frozen
