Tests: platform/tests alone is collected

pytest's importlib mode names a test module after its folders. It replaced the standard library's `platform` by the folder of that name, since a module without `__path__` can't be a parent. The import of attrs then failed unless an earlier test had imported it. The root conftest gives the module a `__path__`.

--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,8 @@
 """Settings and options of all tests."""
 
+import platform
+from pathlib import Path
+
 import pytest
 from hypothesis import HealthCheck, settings
 
@@ -13,6 +16,11 @@
 )
 settings.load_profile("fixed")
 
+# With --import-mode=importlib pytest names test modules after their folders and
+# replaces a parent that is not a package. For platform/tests the parent is the module
+# of the standard library, which attrs and others import.
+platform.__path__ = [str(Path(__file__).parent / "platform")]
+
 
 def pytest_addoption(parser):
     """Add ``--update-golden``; pytest reads options only from the root conftest."""
