Runner stand-in: answers carry `born`

The platform's runner gives the time of its start at the top level of all that it says of itself and of its lists, so that a list can be told from one of the boot before. The stand-in gave it in heartbeats only.

--- a/standins/pollenkeel_standins/runner.py
+++ b/standins/pollenkeel_standins/runner.py
@@ -144,7 +144,8 @@
         return self._answer(lists, 200)
 
     def _answer(self, body: dict[str, Any], status: int) -> Answer:
-        return json_answer({**body, "ClockMs": self._model.now_ms()}, status)
+        clock = {"ClockMs": self._model.now_ms(), "born": self._incarnation}
+        return json_answer({**body, **clock}, status)
 
     def _announce(self, url: str) -> None:
         options = self._options
