Runner stand-in: all fields of heartbeats, crash and restart under the id

Heartbeats now carry Version, Slots, ColdRemainingMs, ClockMs and Gpu. The first heartbeat comes after a settable delay. JobSite.crash_runner kills a runner at a moment when its record is complete, and restart_runner starts it at the same port and id with a new born, clock and counts. A hold waits at most 2 s.

--- a/standins/pollenkeel_standins/job_site.py
+++ b/standins/pollenkeel_standins/job_site.py
@@ -14,6 +14,7 @@
 import urllib3
 import yaml
 
+from pollenkeel_standins.ports import PortReservations
 from pollenkeel_standins.processes import ManagedProcess, wait_until
 
 _HOST = "desk.example"
@@ -61,6 +62,11 @@
         self._client_addresses_by_entry: dict[str, str] = {}
         self._entry_count = entries
         self._vm_count = vms
+        self._ports = PortReservations()
+        self._runner_commands: list[list[str]] = []
+        self._runner_urls: list[str] = []
+        # Runs of earlier incarnations of each runner.
+        self._crashed_runs: list[list[dict[str, Any]]] = [[] for _ in range(vms)]
 
     def __enter__(self) -> JobSite:
         self._start_standin("store", "metadata-store")
@@ -75,11 +81,15 @@
         for number in range(self._vm_count):
             register = self._make_address()
             to_agent = self.route(f"runner-{number}", f"agent-{number}", register)
+            port = self._ports.reserve()
+            to_runner = f"127.0.0.1:{port}"
             options = ["--id", f"i-{number}", "--agent", f"http://{to_agent}"]
-            options += ["--zone", "z1", *self.runner_options(number)]
-            self._start_standin(f"runner-{number}", "runner", *options)
-            runner = self.processes_by_name[f"runner-{number}"].url
-            to_runner = runner.removeprefix("http://")
+            options += ["--port", f"{port}", "--zone", "z1"]
+            self._runner_commands.append(options)
+            self._runner_urls.append(f"http://{to_runner}")
+            self._start_standin(
+                f"runner-{number}", "runner", *options, *self.runner_options(number)
+            )
             settings = {
                 "worker_address": self.route(
                     f"agent-{number}", f"runner-{number}", to_runner
@@ -92,6 +102,7 @@
     def __exit__(self, *_: object) -> None:
         for process in self.processes_by_name.values():
             process.kill()
+        self._ports.close()
 
     def route(self, source: str, target: str, address: str) -> str:
         """Return the address at which one process connects to another.
@@ -117,6 +128,25 @@
         """Restart a process that has ended."""
         self._launch(name)
 
+    def crash_runner(self, number: int) -> None:
+        """Kill a runner with all its runs; its record is kept."""
+        url = f"{self._runner_urls[number]}/crash"
+        record = self._pool.request("POST", url, timeout=5.0).json()
+        self._crashed_runs[number] += record["runs"]
+        self.processes_by_name[f"runner-{number}"].kill()
+
+    def restart_runner(self, number: int, first_heartbeat: float) -> None:
+        """Start a runner again under its id; its clock and its counts start anew.
+
+        ``first_heartbeat`` is the time from its start to its first heartbeat in
+        seconds.
+        """
+        options = ["--first-heartbeat", f"{first_heartbeat}"]
+        options += ["--clock-offset", f"{-time.time()}"]
+        self._start_standin(
+            f"runner-{number}", "runner", *self._runner_commands[number], *options
+        )
+
     def write_config(self, version: int) -> None:
         """Write an operator configuration of this version with one route to a queue."""
         route = {
@@ -226,11 +256,16 @@
         return runs
 
     def _read_record(self, number: int, timeout: float = 5.0) -> list[dict[str, Any]]:
-        url = f"{self.processes_by_name[f'runner-{number}'].url}/record"
+        url = f"{self._runner_urls[number]}/record"
         # A run in progress is only known to have run until now.
         open_end = {"end": time.time(), "how": "running", "noted": False}
         record = self._pool.request("GET", url, timeout=timeout).json()
-        return [{**open_end, **run, "runner": number} for run in record["runs"]]
+        # A runner that is being killed may still answer, and its runs appear twice.
+        runs = {
+            (run["task"], run["run"], run["start"]): {**open_end, **run}
+            for run in [*record["runs"], *self._crashed_runs[number]]
+        }
+        return [{**run, "runner": number} for run in runs.values()]
 
     def _make_address(self) -> str:
         return f"127.0.0.1:{_find_port()}"
--- a/standins/pollenkeel_standins/runner.py
+++ b/standins/pollenkeel_standins/runner.py
@@ -14,9 +14,12 @@
 from pollenkeel_standins.base import Standin, parse_json
 from pollenkeel_standins.faults import Faults
 from pollenkeel_standins.runner_model import RunnerModel
-from pollenkeel_standins.serving import Answer, Request, json_answer
+from pollenkeel_standins.serving import Answer, DeliveryFault, Request, json_answer
 
 _POLL_SECONDS = 0.02
+#: Longest time that ``hold`` waits for an end, in milliseconds.
+_MAX_WAIT_MS = 2000
+_SLOTS = 8
 
 
 class SkewedClock(Clock):
@@ -60,7 +63,8 @@
 class RunnerOptions:
     """Settings of a runner.
 
-    ``agent`` is the URL at which it registers; ``heartbeat`` and ``clock_offset`` are
+    ``agent`` is the URL at which it registers; ``heartbeat`` (interval),
+    ``first_heartbeat`` (time from the start to the first one) and ``clock_offset`` are
     in seconds; ``clock_rate`` is in seconds per second, ``cpu`` in thousandths of a
     core, ``memory`` in megabytes.
     """
@@ -72,6 +76,7 @@
     cpu: int = 4000
     memory: int = 8000
     heartbeat: float = 0.3
+    first_heartbeat: float = 0.3
     clock_offset: float = 0.0
     clock_rate: float = 1.0
 
@@ -117,8 +122,19 @@
     def serve(self, request: Request) -> Answer:
         """Handle an order of the agent.
 
-        ``hold`` is a long poll: it waits up to ``WaitMs`` for a run to end.
+        ``hold`` is a long poll: it waits up to ``WaitMs`` for a run to end. ``POST
+        /crash`` ends the runner for all but its record, which is the answer.
         """
+        if request.path == ["crash"]:
+            self._stop.set()
+            self._model.crash()
+            return json_answer(self.record())
+        answer = self._execute(request)
+        if self._model.crashed:
+            return Answer(503, cut=DeliveryFault.BREAK)
+        return answer
+
+    def _execute(self, request: Request) -> Answer:
         body = parse_json(request.body) or {}
         expected = request.headers.get("Pollenkeel-Expected-Instance", "")
         if expected not in ("", self._options.id):
@@ -136,7 +152,7 @@
             return self._answer({"Reason": refusal}, 409)
         if verb != "hold":
             return self._answer({}, 200)
-        ends_at = time.monotonic() + body.get("WaitMs", 0) / 1000
+        ends_at = time.monotonic() + min(body.get("WaitMs", 0), _MAX_WAIT_MS) / 1000
         lists = self._model.list_runs()
         while not lists["Ended"] and time.monotonic() < ends_at:
             time.sleep(_POLL_SECONDS)
@@ -152,15 +168,21 @@
         pool = urllib3.PoolManager(retries=False, timeout=1.0)
         path = f"{options.agent}/api/instances/{options.id}/heartbeat"
         sequence = 0
-        while not self._stop.wait(options.heartbeat):
+        delay = options.first_heartbeat
+        while not self._stop.wait(delay):
+            delay = options.heartbeat
             sequence += 1
             body = {
                 "Backend": options.service,
                 "Address": url.partition("//")[2],
                 "Zone": options.zone,
+                "Version": "v1",
+                "Slots": _SLOTS,
                 "State": "ready",
-                "Capacity": {"Cpu": options.cpu, "MemMb": options.memory},
+                "ColdRemainingMs": 0,
+                "Capacity": {"Cpu": options.cpu, "MemMb": options.memory, "Gpu": 0},
                 "Labels": ["a", "r1"],
+                "ClockMs": self._model.now_ms(),
                 "Seq": sequence,
                 "born": self._incarnation,
             }
--- a/standins/pollenkeel_standins/runner_model.py
+++ b/standins/pollenkeel_standins/runner_model.py
@@ -11,6 +11,8 @@
 
 #: Upper bound of the lease in seconds.
 MAX_LEASE_SECONDS = 6.0
+#: Largest number of ends in one list; the others follow once these are acknowledged.
+MAX_LISTED_ENDS = 500
 _CHECKPOINT_SECONDS = 1.0
 
 
@@ -41,6 +43,8 @@
     record : list of dict
         What actually ran: task, run, start, end, outcome (``how``), and whether the end
         was acknowledged before the lease lapsed (``noted``).
+    crashed : bool
+        The incarnation has ended and carries out no more orders.
     """
 
     clock: Clock
@@ -52,6 +56,7 @@
     next_number: int = 1
     highest_run_by_task: dict[str, int] = attrs.field(factory=dict)
     record: list[dict[str, Any]] = attrs.field(factory=list)
+    crashed: bool = False
     _unacknowledged: dict[int, dict[str, Any]] = attrs.field(factory=dict)
 
     def now_ms(self) -> int:
@@ -127,6 +132,15 @@
                 self._extend_lease(body["DeadlineMs"])
             return ""
 
+    def crash(self) -> None:
+        """End the incarnation with all its runs."""
+        with self.lock:
+            self.end_due_runs()
+            now = self.clock.now()
+            for run in list(self.runs_by_task.values()):
+                self._end(run, "crashed", now)
+            self.crashed = True
+
     def list_runs(self) -> dict[str, Any]:
         """Return the runs in progress and the ends that are not acknowledged yet."""
         with self.lock:
@@ -142,10 +156,12 @@
                 ]
                 for run in self.runs_by_task.values()
             ]
-            return {"Running": running, "Ended": self.ended[:500]}
+            return {"Running": running, "Ended": self.ended[:MAX_LISTED_ENDS]}
 
     def _check(self, body: dict[str, Any]) -> str:
-        """Return ``fence`` if the fencing token is outdated, else an empty string."""
+        """Return why an order must not be carried out, or an empty string."""
+        if self.crashed:
+            return "crashed"
         token = body.get("FencingToken", 0)
         if token < self.token:
             return "fence"
