--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -134,6 +134,9 @@
         self._state: _WorkerState | None = None
         self._epoch = 0
         self._leader: PeerClient | None = None
+        self._operations_version = 0
+        # None until the leader has sent the names.
+        self._services: frozenset[str] | None = None
         self._crashes: deque[WorkerCrash] = deque(maxlen=_MAX_CRASHES)
         self._wake = threading.Event()
         self._order_pool = ThreadPoolExecutor(
@@ -145,7 +148,8 @@
     def record_announcement(self, announcement: WorkerAnnouncement) -> bool:
         """Record an announcement of the worker.
 
-        Returns False if it is out of date, or if its start time is in the future.
+        Returns False if it is out of date, if its start time is in the future, or if
+        the operators' configuration doesn't name its service.
         """
         latest_start = self._clock.now() + _MAX_CLOCK_AHEAD_SECONDS
         if announcement.born > latest_start * 1000:
@@ -157,13 +161,17 @@
             return False
         with self._lock:
             state = self._state
+            if not self._may_have_service(announcement, state):
+                _report_unnamed_service(announcement)
+                return False
             if state is not None:
                 known = state.announcement
                 if announcement.born < known.born:
                     _report_out_of_date(announcement, known)
                     return False
                 if announcement.incarnation == known.incarnation:
-                    if announcement.sequence < known.sequence:
+                    is_older = announcement.sequence < known.sequence
+                    if is_older and self._is_named(known.service):
                         _report_out_of_date(announcement, known)
                         return False
                     ANNOUNCEMENTS.labels("repeated").inc()
@@ -193,6 +201,25 @@
         self._wake.set()
         return True
 
+    def _is_named(self, service: str) -> bool:
+        """Return whether a service is configured, as far as the agent knows."""
+        return self._services is None or service in self._services
+
+    def _may_have_service(
+        self, announcement: WorkerAnnouncement, state: _WorkerState | None
+    ) -> bool:
+        """Return whether the announced service is configured, or was when it started.
+
+        A worker whose service has been removed may still announce that it leaves.
+        """
+        known = state.announcement if state is not None else None
+        is_unchanged = (
+            known is not None
+            and announcement.incarnation == known.incarnation
+            and announcement.service == known.service
+        )
+        return is_unchanged or self._is_named(announcement.service)
+
     def _record_crash(self, state: _WorkerState) -> None:
         """Record that a worker has ended without an announcement."""
         suspects = [RunKey(*run) for run in state.starts.find_latest()]
@@ -379,7 +406,14 @@
             self._wake.wait(seconds)
             self._wake.clear()
             self._send_report(
-                VmReport(self._vm, self._clock.now(), self._vm, epoch), None
+                VmReport(
+                    self._vm,
+                    self._clock.now(),
+                    self._vm,
+                    epoch,
+                    operations_version=self._operations_version,
+                ),
+                None,
             )
             return
         order = WorkerOrder(state.announcement.worker_id, epoch)
@@ -476,6 +510,7 @@
             capacity=announcement.capacity,
             labels=list(announcement.labels),
             crashes=list(self._crashes),
+            operations_version=self._operations_version,
         )
         if lists is None:
             return report
@@ -509,7 +544,10 @@
                 )
             return False
         reply = result.ok_value
-        if state is None or not isinstance(reply, VmReportReply):
+        if not isinstance(reply, VmReportReply):
+            return False
+        self._record_services(reply)
+        if state is None:
             return False
         with self._lock:
             if reply.epoch != self._epoch or reply.worker != self._get_vm_incarnation(
@@ -524,6 +562,13 @@
             self._drop_recorded_runs(state, report, reply.recorded_through)
         return True
 
+    def _record_services(self, reply: VmReportReply) -> None:
+        """Store the names of the services unless a later version is known."""
+        with self._lock:
+            if reply.operations_version > self._operations_version:
+                self._operations_version = reply.operations_version
+                self._services = frozenset(reply.services)
+
     @staticmethod
     def _drop_recorded_runs(
         state: _WorkerState, report: VmReport, recorded_through: int
@@ -535,6 +580,19 @@
                 state.withdrawn.pop((ended.task_id, ended.run), None)
 
 
+def _report_unnamed_service(announcement: WorkerAnnouncement) -> None:
+    """Log and count an announcement whose service is not configured."""
+    ANNOUNCEMENTS.labels("unnamed service").inc()
+    logger.warning(
+        "announcement of an unknown service rejected",
+        extra={
+            "worker": announcement.incarnation,
+            "sequence": announcement.sequence,
+            "service": announcement.service,
+        },
+    )
+
+
 def _report_out_of_date(
     announcement: WorkerAnnouncement, known: WorkerAnnouncement
 ) -> None:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -85,6 +85,11 @@
         self._operations = operations
         self._operations_valid_until = confirmed_at + _OPERATIONS_VALID_SECONDS
 
+    @property
+    def operations(self) -> Operations:
+        """Operators' settings in force."""
+        return self._operations
+
     def is_open(self, zone: str) -> bool:
         """Return whether tasks may start in a data centre (``zone``)."""
         known = self._clock.now() < self._operations_valid_until
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -245,6 +245,9 @@
         address, or it rejects all calls.
     crashes : list of WorkerCrash
         Latest crashes of the VM's workers; repeated in every report.
+    operations_version : int
+        Version of the operators' configuration whose services the agent knows; 0 for
+        none.
     """
 
     vm: str
@@ -264,6 +267,7 @@
     paced: bool = False
     rejecting: bool = False
     crashes: list[WorkerCrash] = attrs.field(factory=list)
+    operations_version: int = 0
 
 
 @attrs.frozen
@@ -285,6 +289,10 @@
         Profiles of the tasks in ``unprofiled``.
     harms : list of InterferingPair
         Known interference between images on the VM.
+    operations_version : int
+        Version of the operators' configuration in force; 0 if the leader knows none.
+    services : list of str
+        Names of the services in that version; empty if the report has the same version.
     """
 
     epoch: int
@@ -293,6 +301,8 @@
     recorded_through: int = 0
     profiles: list[TaskProfile] = attrs.field(factory=list)
     harms: list[InterferingPair] = attrs.field(factory=list)
+    operations_version: int = 0
+    services: list[str] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
@@ -44,11 +44,14 @@
         Routes of the queues, longest prefix first.
     closed_zones : frozenset of str
         Zones (data centres) that are drained, so that no tasks are started there.
+    services : frozenset of str
+        Names of all services.
     """
 
     version: int = 0
     routes: tuple[QueueRoute, ...] = ()
     closed_zones: frozenset[str] = frozenset()
+    services: frozenset[str] = frozenset()
 
     def find_route(self, host: str, path: str) -> QueueRoute | None:
         """Return the route that matches a request, or None if there is none."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -239,14 +239,16 @@
                 self._apply_report(vm, report, now)
                 if report.clock and may_grant_lease:
                     self._fleet.grant_lease(vm, report.clock)
-            return self._make_reply(vm, report.unprofiled)
+            return self._make_reply(vm, report)
 
-    def _make_reply(self, vm: Vm, unprofiled: Iterable[str]) -> VmReportReply:
+    def _make_reply(self, vm: Vm, report: VmReport) -> VmReportReply:
         profiles = [
             vm.profiles_by_task[task_id]
-            for task_id in unprofiled
+            for task_id in report.unprofiled
             if task_id in vm.profiles_by_task
         ]
+        operations = self._fleet.operations
+        is_known = report.operations_version == operations.version
         return VmReportReply(
             "",
             self._clock.now(),
@@ -256,6 +258,8 @@
             vm.recorded_through,
             profiles,
             self.find_interfering_pairs(vm),
+            operations.version,
+            [] if is_known else sorted(operations.services),
         )
 
     def find_interfering_pairs(self, vm: Vm) -> list[InterferingPair]:
