Let the worker itself say which incarnation it is

Cause: the agent took the incarnation of its worker from announcements, which anyone can send, and took each answer of the worker for one of that incarnation.

Class of fault: a claim is taken for an identity.

Change: an announcement of another incarnation takes effect once the worker has answered a call as that incarnation, whatever the order of the start times. Lists are returned to the agent only if their 'born' is that of the intended incarnation. An answer of another one begins an incarnation that gets no starts until it announces itself. After a call that failed, the next one neither extends the lease nor acknowledges ends, and starts are refused until it succeeded.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -3,40 +3,37 @@
 from __future__ import annotations
 
 import threading
-from collections import deque
+from collections.abc import Iterable
 from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import Any
 
 import attrs
 import logbook
-from result import Err
+from result import Err, Result
 
 from pollenkeel_jobs.core.messages import (
     InterferingPair,
     OrderOutcome,
-    RunKey,
     StartOrder,
     StopOrder,
-    TaskProfile,
     VmOrders,
     VmOrdersReply,
     VmReport,
     VmReportReply,
-    WorkerCrash,
 )
 from pollenkeel_jobs.core.metrics import (
-    ANNOUNCEMENTS,
     FILLING_CORES,
     SERVING_PRESSURE,
 )
-from pollenkeel_jobs.core.pacing import Pace, PaceController
-from pollenkeel_jobs.core.start_history import StartHistory
+from pollenkeel_jobs.core.pacing import Pace
 from pollenkeel_jobs.core.worker import (
     Worker,
     WorkerAnnouncement,
+    WorkerFailure,
     WorkerLists,
     WorkerOrder,
 )
+from pollenkeel_jobs.core.worker_tracker import WorkerState, WorkerTracker
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.guard import run_step
@@ -61,54 +58,12 @@
 #: Number of revoked runs that are kept per incarnation of the worker; beyond that the
 #: oldest is dropped.
 _MAX_REVOKED_RUNS = 2000
-#: Largest difference by which the clock of a worker may be ahead, in seconds. A start
-#: time further in the future would make all later announcements out of date.
-_MAX_CLOCK_AHEAD_SECONDS = 3600.0
-#: Number of crashes of the worker that are kept for the reports.
-_MAX_CRASHES = 4
 _ORDER_THREADS = 4
 _UNKNOWN = "unknown"
 _REFUSED = "refused"
 _STARTED = "started"
 
 
-@attrs.define
-class _WorkerState:
-    """State kept for the current incarnation of the worker.
-
-    Attributes
-    ----------
-    announcement : WorkerAnnouncement
-        Latest announcement of the worker.
-    lease_until : float
-        End of the lease granted by the leader, on the worker's clock, in milliseconds.
-    recorded_through : int
-        Number up to which the leader has recorded the worker's ended runs.
-    profiles_by_task : dict of str to TaskProfile
-        Profiles received from the leader.
-    withdrawn : dict of (str, int) to None
-        Revoked runs (task id and run number), oldest first.
-    harms : list of InterferingPair
-        Interference between the images on the VM, as last sent by the leader.
-    pace : PaceController
-        Chooses the speed caps of the best-effort tasks.
-    starts : StartHistory
-        Start times of the runs.
-    answering : bool
-        Whether the worker has answered the latest poll.
-    """
-
-    announcement: WorkerAnnouncement
-    lease_until: float = 0.0
-    recorded_through: int = 0
-    profiles_by_task: dict[str, TaskProfile] = attrs.field(factory=dict)
-    withdrawn: dict[tuple[str, int], None] = attrs.field(factory=dict)
-    harms: list[InterferingPair] = attrs.field(factory=list)
-    pace: PaceController = attrs.field(factory=PaceController)
-    starts: StartHistory = attrs.field(factory=StartHistory)
-    answering: bool = True
-
-
 class VmAgent:
     """Forwards the leader's orders to the worker of one VM and reports back.
 
@@ -130,116 +85,24 @@
         self._vm = vm
         self._clock = clock
         self._worker = worker
-        self._lock = threading.Lock()
-        self._state: _WorkerState | None = None
+        self._tracker = WorkerTracker(vm, clock, worker)
+        self._lock = self._tracker.lock
         self._epoch = 0
         self._leader: PeerClient | None = None
-        self._operations_version = 0
-        # None until the leader has sent the names.
-        self._services: frozenset[str] | None = None
-        self._crashes: deque[WorkerCrash] = deque(maxlen=_MAX_CRASHES)
         self._wake = threading.Event()
         self._order_pool = ThreadPoolExecutor(
             _ORDER_THREADS, thread_name_prefix="order"
         )
 
-    # Worker announcements.
-
     def record_announcement(self, announcement: WorkerAnnouncement) -> bool:
-        """Record an announcement of the worker.
-
-        Returns False if it is out of date, if its start time is in the future, or if
-        the operators' configuration doesn't name its service.
-        """
-        latest_start = self._clock.now() + _MAX_CLOCK_AHEAD_SECONDS
-        if announcement.born > latest_start * 1000:
-            logger.warning(
-                "announcement from the future rejected",
-                extra={"worker": announcement.worker_id, "born": announcement.born},
-            )
-            ANNOUNCEMENTS.labels("future").inc()
-            return False
-        with self._lock:
-            state = self._state
-            if not self._may_have_service(announcement, state):
-                _report_unnamed_service(announcement)
-                return False
-            if state is not None:
-                known = state.announcement
-                if announcement.born < known.born:
-                    _report_out_of_date(announcement, known)
-                    return False
-                if announcement.incarnation == known.incarnation:
-                    is_older = announcement.sequence < known.sequence
-                    if is_older and self._is_named(known.service):
-                        _report_out_of_date(announcement, known)
-                        return False
-                    ANNOUNCEMENTS.labels("repeated").inc()
-                    starts_draining = announcement.draining and not known.draining
-                    state.announcement = announcement
-                    if starts_draining:
-                        log_change(
-                            logger,
-                            "worker is draining",
-                            worker=announcement.incarnation,
-                        )
-                        self._wake.set()
-                    return True
-                if not known.draining:
-                    self._record_crash(state)
-            self._state = _WorkerState(announcement)
-        ANNOUNCEMENTS.labels("new").inc()
-        log_change(
-            logger,
-            "worker started",
-            worker=announcement.incarnation,
-            service=announcement.service,
-            zone=announcement.zone,
-            sequence=announcement.sequence,
-            before=state.announcement.incarnation if state else None,
-        )
+        """Record an announcement of the worker; return False if it is rejected."""
+        accepted = self._tracker.record_announcement(announcement)
         self._wake.set()
-        return True
-
-    def _is_named(self, service: str) -> bool:
-        """Return whether a service is configured, as far as the agent knows."""
-        return self._services is None or service in self._services
-
-    def _may_have_service(
-        self, announcement: WorkerAnnouncement, state: _WorkerState | None
-    ) -> bool:
-        """Return whether the announced service is configured, or was when it started.
-
-        A worker whose service has been removed may still announce that it leaves.
-        """
-        known = state.announcement if state is not None else None
-        is_unchanged = (
-            known is not None
-            and announcement.incarnation == known.incarnation
-            and announcement.service == known.service
-        )
-        return is_unchanged or self._is_named(announcement.service)
-
-    def _record_crash(self, state: _WorkerState) -> None:
-        """Record that a worker has ended without an announcement."""
-        suspects = [RunKey(*run) for run in state.starts.find_latest()]
-        worker = self._get_vm_incarnation(state)
-        self._crashes.append(WorkerCrash(worker, suspects))
-        log_change(
-            logger,
-            "worker crashed",
-            worker=worker,
-            suspects=[f"{run.task_id}:{run.run}" for run in suspects],
-        )
+        return accepted
 
     def record_departure(self, worker_id: str) -> None:
         """Mark a worker that has deregistered as draining; it gets no more starts."""
-        with self._lock:
-            state = self._state
-            if state is None or state.announcement.worker_id != worker_id:
-                return
-            state.announcement = attrs.evolve(state.announcement, draining=True)
-        log_change(logger, "worker deregistered", worker=worker_id)
+        self._tracker.record_departure(worker_id)
 
     # Orders from the leader.
 
@@ -255,7 +118,7 @@
         with self._lock:
             if message.epoch > self._epoch:
                 self._switch_leader(message)
-            state = self._state
+            state = self._tracker.state
             refusal = self._find_refusal_reason(message, state)
         outcomes = []
         if message.starts or message.stops:
@@ -277,40 +140,46 @@
         # state at once.
         self._order_pool.submit(self._poll_worker, 0.0)
 
-    def _find_refusal_reason(
-        self, message: VmOrders, state: _WorkerState | None
-    ) -> str:
+    def _find_refusal_reason(self, message: VmOrders, state: WorkerState | None) -> str:
         """Return why orders must be refused, or an empty string."""
         if message.epoch < self._epoch:
             return "stale leader"
-        if state is None or self._get_vm_incarnation(state) != message.worker:
+        if state is None or self._tracker.get_vm_incarnation(state) != message.worker:
             return "another worker"
-        if state.announcement.draining and message.starts:
+        return ""
+
+    @staticmethod
+    def _find_start_refusal_reason(state: WorkerState) -> str:
+        """Return why starts must be refused, or an empty string.
+
+        A worker that has not answered the latest poll may have been replaced by another
+        incarnation, which would execute the starts.
+        """
+        if state.announcement.draining:
             return "draining"
+        if not state.announced:
+            return "not announced"
+        if not state.answering:
+            return "worker not answering"
         return ""
 
     def _execute_orders(
-        self, message: VmOrders, state: _WorkerState | None, refusal: str
+        self, message: VmOrders, state: WorkerState | None, refusal: str
     ) -> list[OrderOutcome]:
         """Forward orders to the worker unless refused; return the outcomes of starts.
 
-        A draining worker gets stops but no starts.
+        A worker that gets no starts still gets stops.
         """
-        if state is None or (refusal and refusal != "draining"):
-            return [
-                OrderOutcome(start.task_id, start.run, _REFUSED, refusal)
-                for start in message.starts
-            ]
-        order = WorkerOrder(state.announcement.worker_id, message.epoch)
+        if state is None or refusal:
+            return _refuse(message.starts, refusal)
+        order = _make_order(state, message.epoch)
         stops: list[Future[Any]] = [
             self._order_pool.submit(self._stop, state, order, stop)
             for stop in message.stops
         ]
+        refusal = self._find_start_refusal_reason(state)
         if refusal:
-            return [
-                OrderOutcome(start.task_id, start.run, _REFUSED, refusal)
-                for start in message.starts
-            ]
+            return _refuse(message.starts, refusal)
         starts: list[tuple[StartOrder, Future[OrderOutcome]]] = []
         for start in message.starts:
             with self._lock:
@@ -324,7 +193,7 @@
 
     def _start(
         self,
-        state: _WorkerState,
+        state: WorkerState,
         order: WorkerOrder,
         start: StartOrder,
         message: VmOrders,
@@ -348,7 +217,7 @@
 
     def _set_initial_pace(
         self,
-        state: _WorkerState,
+        state: WorkerState,
         order: WorkerOrder,
         start: StartOrder,
         harms: list[InterferingPair],
@@ -362,7 +231,7 @@
         if pace is not None:
             self._send_pace(state, order, pace)
 
-    def _stop(self, state: _WorkerState, order: WorkerOrder, stop: StopOrder) -> None:
+    def _stop(self, state: WorkerState, order: WorkerOrder, stop: StopOrder) -> None:
         result = self._worker.stop(order, stop.task_id, stop.run)
         if isinstance(result, Err):
             logger.warning(
@@ -396,8 +265,9 @@
         The call to the worker extends its lease and returns once a run ends, or after
         ``seconds`` at most.
         """
+        self._tracker.confirm_pending(self._epoch)
         with self._lock:
-            state = self._state
+            state = self._tracker.state
             epoch = self._epoch
             # Copied before the worker lists its runs, so that the lists contain every
             # revoked run that had started, unless its end is recorded already.
@@ -411,18 +281,21 @@
                     self._clock.now(),
                     self._vm,
                     epoch,
-                    operations_version=self._operations_version,
+                    operations_version=self._tracker.services.version,
                 ),
                 None,
             )
             return
-        order = WorkerOrder(state.announcement.worker_id, epoch)
+        order = _make_order(state, epoch)
         self._wake.clear()
-        result = self._worker.hold(
-            order, state.lease_until, state.recorded_through, seconds
-        )
+        result = self._hold(state, order, seconds)
+        if self._tracker.state is not state:
+            return
         state.answering = not isinstance(result, Err)
         if isinstance(result, Err):
+            if result.err_value.born:
+                self._tracker.begin_unannounced(state, result.err_value.born)
+                return
             self._wake.wait(_RETRY_SECONDS)
             report = attrs.evolve(
                 self._make_report(state, epoch, None, []),
@@ -431,11 +304,6 @@
             self._send_report(report, state)
             return
         lists = result.ok_value
-        if lists.born != state.announcement.born:
-            logger.warning(
-                "lists of another incarnation",
-                extra={"worker": state.announcement.incarnation, "born": lists.born},
-            )
         with self._lock:
             state.starts.forget((end.task_id, end.run) for end in lists.ended)
         # Only the polls of ``run`` adjust speed caps, not the one for a new leader.
@@ -446,15 +314,22 @@
         ):
             self._wake.wait(_RETRY_SECONDS)
 
-    def _get_vm_incarnation(self, state: _WorkerState) -> str:
-        """Return the worker's incarnation in the form ``VM/WORKER~START``.
+    def _hold(
+        self, state: WorkerState, order: WorkerOrder, seconds: float
+    ) -> Result[WorkerLists, WorkerFailure]:
+        """Extend the worker's lease and return its lists.
 
-        A VM runs at most one worker at a time.
+        After a failure the worker may be another incarnation, whose ended runs must not
+        be acknowledged and whose clock differs; the next call only asks which it is.
         """
-        return f"{self._vm}/{state.announcement.incarnation}"
+        if not state.answering:
+            return self._worker.hold(order, 0.0, 0, 0.0)
+        return self._worker.hold(
+            order, state.lease_until, state.recorded_through, seconds
+        )
 
     def _update_paces(
-        self, state: _WorkerState, order: WorkerOrder, lists: WorkerLists
+        self, state: WorkerState, order: WorkerOrder, lists: WorkerLists
     ) -> None:
         """Adjust the speed caps of best-effort tasks to the latest measurements."""
         with self._lock:
@@ -473,7 +348,7 @@
             FILLING_CORES.labels(what).set(cores)
         SERVING_PRESSURE.set(state.pace.pressure)
 
-    def _send_pace(self, state: _WorkerState, order: WorkerOrder, pace: Pace) -> None:
+    def _send_pace(self, state: WorkerState, order: WorkerOrder, pace: Pace) -> None:
         result = self._worker.pace(order, pace.task_id, pace.run, pace.percent)
         accepted = not isinstance(result, Err)
         if accepted:
@@ -491,7 +366,7 @@
 
     def _make_report(
         self,
-        state: _WorkerState,
+        state: WorkerState,
         epoch: int,
         lists: WorkerLists | None,
         withdrawn: list[tuple[str, int]],
@@ -503,14 +378,14 @@
             self._clock.now(),
             self._vm,
             epoch,
-            worker=self._get_vm_incarnation(state),
+            worker=self._tracker.get_vm_incarnation(state),
             service=announcement.service,
             zone=announcement.zone,
-            state="draining" if announcement.draining else "ready",
+            state=_get_state_name(state),
             capacity=announcement.capacity,
             labels=list(announcement.labels),
-            crashes=list(self._crashes),
-            operations_version=self._operations_version,
+            crashes=list(self._tracker.crashes),
+            operations_version=self._tracker.services.version,
         )
         if lists is None:
             return report
@@ -526,7 +401,7 @@
             paced=state.pace.active,
         )
 
-    def _send_report(self, report: VmReport, state: _WorkerState | None) -> bool:
+    def _send_report(self, report: VmReport, state: WorkerState | None) -> bool:
         """Send a report; return whether the leader's reply was applied."""
         leader = self._leader
         if leader is None:
@@ -546,12 +421,14 @@
         reply = result.ok_value
         if not isinstance(reply, VmReportReply):
             return False
-        self._record_services(reply)
+        with self._lock:
+            self._tracker.services.update(reply)
         if state is None:
             return False
         with self._lock:
-            if reply.epoch != self._epoch or reply.worker != self._get_vm_incarnation(
-                state
+            if (
+                reply.epoch != self._epoch
+                or reply.worker != self._tracker.get_vm_incarnation(state)
             ):
                 return False
             state.lease_until = max(state.lease_until, reply.lease_until)
@@ -562,16 +439,9 @@
             self._drop_recorded_runs(state, report, reply.recorded_through)
         return True
 
-    def _record_services(self, reply: VmReportReply) -> None:
-        """Store the names of the services unless a later version is known."""
-        with self._lock:
-            if reply.operations_version > self._operations_version:
-                self._operations_version = reply.operations_version
-                self._services = frozenset(reply.services)
-
     @staticmethod
     def _drop_recorded_runs(
-        state: _WorkerState, report: VmReport, recorded_through: int
+        state: WorkerState, report: VmReport, recorded_through: int
     ) -> None:
         """Drop profiles and revocations of runs whose end the leader has recorded."""
         for ended in report.ended:
@@ -580,34 +450,23 @@
                 state.withdrawn.pop((ended.task_id, ended.run), None)
 
 
-def _report_unnamed_service(announcement: WorkerAnnouncement) -> None:
-    """Log and count an announcement whose service is not configured."""
-    ANNOUNCEMENTS.labels("unnamed service").inc()
-    logger.warning(
-        "announcement of an unknown service rejected",
-        extra={
-            "worker": announcement.incarnation,
-            "sequence": announcement.sequence,
-            "service": announcement.service,
-        },
-    )
-
-
-def _report_out_of_date(
-    announcement: WorkerAnnouncement, known: WorkerAnnouncement
-) -> None:
-    """Log and count an announcement that is older than the known one."""
-    ANNOUNCEMENTS.labels("out of date").inc()
-    logger.warning(
-        "announcement out of date",
-        extra={
-            "worker": announcement.incarnation,
-            "sequence": announcement.sequence,
-            "known": known.incarnation,
-            "known_sequence": known.sequence,
-            "known_service": known.service,
-        },
-    )
+def _make_order(state: WorkerState, epoch: int) -> WorkerOrder:
+    """Return the common part of calls that are meant for an incarnation."""
+    announcement = state.announcement
+    return WorkerOrder(announcement.worker_id, announcement.born, epoch)
+
+
+def _get_state_name(state: WorkerState) -> str:
+    """Return the state of a worker as reports name it."""
+    if not state.announced:
+        return "starting"
+    return "draining" if state.announcement.draining else "ready"
+
+
+def _refuse(starts: Iterable[StartOrder], reason: str) -> list[OrderOutcome]:
+    return [
+        OrderOutcome(start.task_id, start.run, _REFUSED, reason) for start in starts
+    ]
 
 
 def _get_outcome(start: StartOrder, call: Future[OrderOutcome]) -> OrderOutcome:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -224,7 +224,8 @@
         Service that the worker belongs to and data centre of the VM, as announced by
         the worker.
     state : str
-        ``ready`` or ``draining``.
+        ``ready`` or ``draining``, or ``starting`` while the worker has not announced
+        itself, so that its service and resources are unknown.
     capacity : Demand
         Resources of the VM.
     labels : list of str
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -282,7 +282,8 @@
         vm.zone = report.zone
         vm.capacity = report.capacity
         vm.labels = frozenset(report.labels)
-        vm.draining = report.state != "ready"
+        vm.draining = report.state == "draining"
+        vm.starting = report.state == "starting"
         vm.rejecting = report.rejecting
         if report.clock:
             vm.listed_at = now
@@ -555,6 +556,7 @@
             and not task.sent
             and not task.job.status.final
             and not vm.draining
+            and not vm.starting
             and self._fleet.is_open(vm.zone)
             and vm.has_room_for(Demand())
         )
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -37,6 +37,8 @@
         Data centre of the VM.
     draining : bool
         Whether the worker is leaving and takes no new tasks.
+    starting : bool
+        Whether the worker has not announced itself yet and takes no tasks.
     rejecting : bool
         Whether the worker rejects all calls, or nothing listens at its address.
     capacity : Demand
@@ -105,6 +107,7 @@
     service: str = ""
     zone: str = ""
     draining: bool = False
+    starting: bool = False
     rejecting: bool = False
     capacity: Demand = attrs.field(factory=Demand)
     labels: frozenset[str] = frozenset()
@@ -172,6 +175,8 @@
             return "not fenced"
         if self.draining:
             return "draining"
+        if self.starting:
+            return "starting"
         if self.rejecting:
             return "rejects calls"
         if self.has_unknown_runs:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker.py
@@ -55,15 +55,11 @@
         Runs in progress.
     ended : list of EndedTask
         Ended runs that the worker has not been told to drop.
-    born : int
-        Start time of the incarnation that made the snapshot, in milliseconds since the
-        Unix epoch; 0 if it is not stated.
     """
 
     clock: float
     running: list[RunningTask]
     ended: list[EndedTask]
-    born: int = 0
 
 
 @attrs.frozen
@@ -77,22 +73,41 @@
         or may still be, executed.
     reason : str
         Cause as reported by the worker or by the connection.
+    answered_by_other : bool
+        Another worker than the intended one, or another incarnation of it, answered.
+    born : int
+        Start time of the other incarnation, in milliseconds since the Unix epoch; 0 if
+        it is not known.
     """
 
     refused: bool
     reason: str
+    answered_by_other: bool = False
+    born: int = 0
 
 
 @attrs.frozen
 class WorkerOrder:
-    """Common part of all calls: the worker they are meant for and the fencing token."""
+    """Common part of all calls: the intended worker and the fencing token.
+
+    Attributes
+    ----------
+    born : int
+        Start time of the intended incarnation, in milliseconds since the Unix epoch.
+    """
 
     worker_id: str
+    born: int
     token: int
 
 
 class Worker(ABC):
-    """Client of the worker; safe for use by several threads."""
+    """Client of the worker; safe for use by several threads.
+
+    A call fails if it can be seen that another incarnation than the intended one has
+    answered it. A start or a stop may be executed by another incarnation unseen; lists
+    are never returned for another one.
+    """
 
     @abstractmethod
     def start(
--- /dev/null
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
@@ -0,0 +1,277 @@
+"""Which incarnation the worker of a VM is, and what the agent knows of it."""
+
+from __future__ import annotations
+
+import threading
+from collections import deque
+
+import attrs
+import logbook
+from result import Err
+
+from pollenkeel_jobs.core.announcements import (
+    ConfiguredServices,
+    PendingAnnouncements,
+    is_from_the_future,
+    report_denied,
+    report_out_of_date,
+    report_unnamed_service,
+)
+from pollenkeel_jobs.core.messages import (
+    InterferingPair,
+    RunKey,
+    TaskProfile,
+    WorkerCrash,
+)
+from pollenkeel_jobs.core.metrics import ANNOUNCEMENTS
+from pollenkeel_jobs.core.model import Demand
+from pollenkeel_jobs.core.pacing import PaceController
+from pollenkeel_jobs.core.start_history import StartHistory
+from pollenkeel_jobs.core.worker import Worker, WorkerAnnouncement, WorkerOrder
+from pollenkeel_kernel.core.clock import Clock
+from pollenkeel_kernel.core.logs import log_change
+
+logger = logbook.Logger("agent")
+
+#: Number of crashes of the worker that are kept for the reports.
+_MAX_CRASHES = 4
+
+
+@attrs.define
+class WorkerState:
+    """State kept for the current incarnation of the worker.
+
+    Attributes
+    ----------
+    announcement : WorkerAnnouncement
+        Latest announcement of the worker.
+    lease_until : float
+        End of the lease granted by the leader, on the worker's clock, in milliseconds.
+    recorded_through : int
+        Number up to which the leader has recorded the worker's ended runs.
+    profiles_by_task : dict of str to TaskProfile
+        Profiles received from the leader.
+    withdrawn : dict of (str, int) to None
+        Revoked runs (task id and run number), oldest first.
+    harms : list of InterferingPair
+        Interference between the images on the VM, as last sent by the leader.
+    pace : PaceController
+        Chooses the speed caps of the best-effort tasks.
+    starts : StartHistory
+        Start times of the runs.
+    answering : bool
+        Whether the worker has answered the latest poll.
+    announced : bool
+        Whether the incarnation has announced itself; otherwise only its start time is
+        known.
+    """
+
+    announcement: WorkerAnnouncement
+    lease_until: float = 0.0
+    recorded_through: int = 0
+    profiles_by_task: dict[str, TaskProfile] = attrs.field(factory=dict)
+    withdrawn: dict[tuple[str, int], None] = attrs.field(factory=dict)
+    harms: list[InterferingPair] = attrs.field(factory=list)
+    pace: PaceController = attrs.field(factory=PaceController)
+    starts: StartHistory = attrs.field(factory=StartHistory)
+    answering: bool = True
+    announced: bool = True
+
+    @property
+    def incarnation(self) -> str:
+        """Id of the incarnation: the worker's id and start time."""
+        return self.announcement.incarnation
+
+
+class WorkerTracker:
+    """Follows the incarnations of the worker of one VM.
+
+    An announcement alone never replaces the incarnation: the worker must have answered
+    as the new one.
+
+    Parameters
+    ----------
+    vm : str
+        Id of the VM.
+    clock : Clock
+        Source of time.
+    worker : Worker
+        Client of the VM's worker.
+
+    Attributes
+    ----------
+    lock : threading.Lock
+        Protects all attributes and the state of the worker.
+    state : WorkerState or None
+        State of the current incarnation; None while none is known.
+    services : ConfiguredServices
+        Services that announcements may name.
+    crashes : deque of WorkerCrash
+        Latest incarnations that ended without notice.
+    """
+
+    def __init__(self, vm: str, clock: Clock, worker: Worker) -> None:
+        self.lock = threading.Lock()
+        self.state: WorkerState | None = None
+        self.services = ConfiguredServices()
+        self.crashes: deque[WorkerCrash] = deque(maxlen=_MAX_CRASHES)
+        self._vm = vm
+        self._clock = clock
+        self._worker = worker
+        self._pending = PendingAnnouncements()
+
+    def get_vm_incarnation(self, state: WorkerState) -> str:
+        """Return the worker's incarnation in the form ``VM/WORKER~START``.
+
+        A VM runs at most one worker at a time.
+        """
+        return f"{self._vm}/{state.incarnation}"
+
+    def record_announcement(self, announcement: WorkerAnnouncement) -> bool:
+        """Record an announcement of the worker.
+
+        One of another incarnation takes effect once the worker has answered as such.
+
+        Returns False if it is out of date, if its start time is in the future, or if
+        the operators' configuration doesn't name its service.
+        """
+        if is_from_the_future(announcement, self._clock.now()):
+            return False
+        with self.lock:
+            if not self._may_have_service(announcement):
+                report_unnamed_service(announcement)
+                return False
+            state = self.state
+            if state is not None and announcement.incarnation == state.incarnation:
+                return self._update_announcement(state, announcement)
+            self._pending.add(announcement)
+        return True
+
+    def _may_have_service(self, announcement: WorkerAnnouncement) -> bool:
+        """Return whether the announced service is configured, or was when it started.
+
+        A worker whose service has been removed may still announce that it leaves.
+        """
+        state = self.state
+        is_unchanged = (
+            state is not None
+            and announcement.incarnation == state.incarnation
+            and announcement.service == state.announcement.service
+        )
+        return is_unchanged or self.services.may_include(announcement.service)
+
+    def _update_announcement(
+        self, state: WorkerState, announcement: WorkerAnnouncement
+    ) -> bool:
+        """Replace the announcement of the current incarnation unless it is older."""
+        known = state.announcement
+        is_older = announcement.sequence < known.sequence
+        if is_older and self.services.may_include(known.service):
+            report_out_of_date(announcement, known)
+            return False
+        ANNOUNCEMENTS.labels("repeated").inc()
+        starts_draining = announcement.draining and not known.draining
+        state.announcement = announcement
+        if not state.announced:
+            state.announced = True
+            log_change(logger, "worker announced", worker=announcement.incarnation)
+        if starts_draining:
+            log_change(logger, "worker is draining", worker=announcement.incarnation)
+        return True
+
+    def confirm_pending(self, epoch: int) -> None:
+        """Ask the worker whether it is one of the announced incarnations.
+
+        The call has no effect on its lease and its ended runs. ``epoch`` is the fencing
+        token of the leader.
+        """
+        with self.lock:
+            announcements = self._pending.list()
+        for announcement in announcements:
+            before = self.state
+            order = WorkerOrder(announcement.worker_id, announcement.born, epoch)
+            result = self._worker.hold(order, 0.0, 0, 0.0)
+            if not isinstance(result, Err):
+                self._begin_incarnation(announcement, before)
+            elif result.err_value.answered_by_other:
+                with self.lock:
+                    self._pending.remove(announcement)
+                report_denied(announcement, result.err_value)
+            else:
+                return
+
+    def _begin_incarnation(
+        self, announcement: WorkerAnnouncement, before: WorkerState | None
+    ) -> None:
+        """Replace the worker's incarnation by one that the worker has confirmed.
+
+        Does nothing if another thread has replaced the incarnation ``before``, which
+        was known when the worker was asked.
+        """
+        with self.lock:
+            if self.state is not before:
+                return
+            self._pending.remove(announcement)
+            if before is not None and before.incarnation == announcement.incarnation:
+                self._update_announcement(before, announcement)
+                return
+            if before is not None and not before.announcement.draining:
+                self._record_crash(before)
+            self.state = WorkerState(announcement)
+        ANNOUNCEMENTS.labels("new").inc()
+        log_change(
+            logger,
+            "worker started",
+            worker=announcement.incarnation,
+            service=announcement.service,
+            zone=announcement.zone,
+            sequence=announcement.sequence,
+            before=before.incarnation if before else None,
+        )
+
+    def begin_unannounced(self, state: WorkerState, born: int) -> None:
+        """Replace an incarnation after the worker has answered as another one.
+
+        Until it announces itself, its service and its resources are unknown, and it
+        gets no starts.
+        """
+        with self.lock:
+            if self.state is not state:
+                return
+            if not state.announcement.draining:
+                self._record_crash(state)
+            announcement = attrs.evolve(
+                state.announcement,
+                born=born,
+                sequence=-1,
+                draining=False,
+                capacity=Demand(),
+            )
+            self.state = WorkerState(announcement, announced=False)
+        log_change(
+            logger,
+            "worker restarted",
+            worker=announcement.incarnation,
+            before=state.incarnation,
+        )
+
+    def _record_crash(self, state: WorkerState) -> None:
+        """Record that a worker has ended without an announcement."""
+        suspects = [RunKey(*run) for run in state.starts.find_latest()]
+        worker = self.get_vm_incarnation(state)
+        self.crashes.append(WorkerCrash(worker, suspects))
+        log_change(
+            logger,
+            "worker crashed",
+            worker=worker,
+            suspects=[f"{run.task_id}:{run.run}" for run in suspects],
+        )
+
+    def record_departure(self, worker_id: str) -> None:
+        """Mark a worker that has deregistered as draining; it gets no more starts."""
+        with self.lock:
+            state = self.state
+            if state is None or state.announcement.worker_id != worker_id:
+                return
+            state.announcement = attrs.evolve(state.announcement, draining=True)
+        log_change(logger, "worker deregistered", worker=worker_id)
--- a/packages/pollenkeel-jobs/tests/core/test_announcements.py
+++ b/packages/pollenkeel-jobs/tests/core/test_announcements.py
@@ -1,11 +1,22 @@
 """Tests of what an agent accepts as an announcement of its worker."""
 
+import attrs
 import pytest
+from result import Err, Ok
 
 from pollenkeel_jobs.core.agent import VmAgent
-from pollenkeel_jobs.core.messages import VmReportReply
+from pollenkeel_jobs.core.messages import (
+    StartOrder,
+    TaskProfile,
+    VmOrders,
+    VmReportReply,
+)
 from pollenkeel_jobs.core.model import Demand
-from pollenkeel_jobs.core.worker import WorkerAnnouncement
+from pollenkeel_jobs.core.worker import (
+    WorkerAnnouncement,
+    WorkerFailure,
+    WorkerLists,
+)
 
 EPOCH = 5
 
@@ -18,13 +29,58 @@
     )
 
 
+class WorkerDouble:
+    """Worker that answers as one incarnation and keeps the calls of ``hold``."""
+
+    def __init__(self):
+        self.worker_id, self.born = "w", 1
+        self.answers = True
+        self.lists = WorkerLists(1.0, [], [])
+        self.holds = []
+
+    def hold(self, order, deadline, recorded_through, wait):
+        self.holds.append((order.born, deadline, recorded_through))
+        if not self.answers:
+            return Err(WorkerFailure(True, "connection refused"))
+        if order.worker_id != self.worker_id:
+            return Err(WorkerFailure(True, "421", True))
+        if order.born != self.born:
+            return Err(WorkerFailure(False, "another incarnation", True, self.born))
+        return Ok(self.lists)
+
+    def start(self, order, start, payload, deadline):
+        return Ok(None)
+
+
 @pytest.fixture
-def agent(clock):
-    return VmAgent("vm-1", clock, worker=None)
+def worker():
+    return WorkerDouble()
+
+
+@pytest.fixture
+def reports():
+    return []
+
+
+@pytest.fixture
+def agent(clock, worker, reports, monkeypatch):
+    """Agent whose reports go to ``reports``."""
+    agent = VmAgent("vm-1", clock, worker)
+    monkeypatch.setattr(
+        agent,
+        "_send_report",
+        lambda report, state: bool(reports.append(report)) or True,
+    )
+    return agent
+
+
+def poll(agent, times=1):
+    for _ in range(times):
+        agent._poll_worker(0.01)
 
 
 def send_services(agent, version, *services):
-    agent._record_services(
+    agent._tracker.services.update(
         VmReportReply(
             "e", 0.0, EPOCH, operations_version=version, services=list(services)
         )
@@ -35,6 +91,7 @@
     """Guards against an entry of another writer that ends the use of a worker."""
     send_services(agent, 3, "desk")
     assert agent.record_announcement(announce())
+    poll(agent)
     assert not agent.record_announcement(announce(2, 9, "foreign"))
     assert not agent.record_announcement(announce(1, 9, "foreign"))
     assert agent.record_announcement(announce(1, 2))
@@ -43,6 +100,7 @@
 def test_unnamed_service_gives_way_once_the_services_are_known(agent):
     """Guards against a worker that is hidden by an entry from before the services."""
     assert agent.record_announcement(announce(1, 10**6, "foreign"))
+    poll(agent)
     send_services(agent, 3, "desk")
     assert agent.record_announcement(announce(1, 1, "desk"))
     assert not agent.record_announcement(announce(1, 10**6 + 1, "foreign"))
@@ -52,6 +110,7 @@
     """Guards against a worker that leaves without an acknowledgement."""
     send_services(agent, 3, "desk")
     assert agent.record_announcement(announce())
+    poll(agent)
     send_services(agent, 4, "other")
     assert agent.record_announcement(announce(1, 2, draining=True))
 
@@ -61,3 +120,72 @@
     send_services(agent, 4, "desk", "other")
     send_services(agent, 3, "desk")
     assert agent.record_announcement(announce(1, 1, "other"))
+
+
+def test_incarnation_that_the_worker_denies_is_not_used(agent, worker, reports):
+    """Guards against a sound worker whose runs are given up for an announcement."""
+    agent.record_announcement(announce())
+    poll(agent)
+    agent.record_announcement(announce(2, 9))
+    agent.record_announcement(attrs.evolve(announce(3), worker_id="other"))
+    poll(agent, 2)
+    assert [report.worker for report in reports] == ["vm-1/w~1"] * 3
+    assert reports[-1].crashes == []
+    assert agent.record_announcement(announce(1, 2))
+
+
+def test_worker_with_an_earlier_start_time_is_used(agent, worker, reports):
+    """Guards against a worker that is unknown since the time of day was set back."""
+    agent.record_announcement(announce(2))
+    worker.born = 2
+    poll(agent)
+    worker.born = 1
+    agent.record_announcement(announce(1))
+    poll(agent)
+    assert reports[-1].worker == "vm-1/w~1"
+
+
+def test_lists_of_a_restarted_worker_are_not_those_of_before(agent, worker, reports):
+    """Guards against runs that are taken for lost since a new incarnation has none."""
+    agent.record_announcement(announce())
+    poll(agent)
+    worker.born = 2
+    poll(agent, 2)
+    report = reports[-1]
+    assert (report.worker, report.state) == ("vm-1/w~2", "starting")
+    assert report.capacity == Demand()
+    assert [crash.worker for crash in report.crashes] == ["vm-1/w~1"]
+    agent.record_announcement(announce(2))
+    poll(agent)
+    assert (reports[-1].state, reports[-1].capacity.cpu) == ("ready", 4000)
+
+
+def test_worker_that_did_not_answer_is_asked_who_it_is(agent, worker):
+    """Guards against ends of a new incarnation that are acknowledged unread."""
+    agent.record_announcement(announce())
+    poll(agent)
+    agent._tracker.state.lease_until = 9000.0
+    agent._tracker.state.recorded_through = 57
+    poll(agent)
+    worker.answers = False
+    poll(agent)
+    worker.answers = True
+    del worker.holds[:]
+    poll(agent, 2)
+    assert worker.holds == [(1, 0.0, 0), (1, 9000.0, 57)]
+
+
+@pytest.mark.parametrize("case", ["silent", "restarted"])
+def test_worker_of_unknown_incarnation_gets_no_starts(agent, worker, case):
+    """Guards against starts that another incarnation executes."""
+    agent.record_announcement(announce())
+    poll(agent)
+    if case == "silent":
+        worker.answers = False
+    else:
+        worker.born = 2
+    poll(agent, 2)
+    incarnation = agent._tracker.get_vm_incarnation(agent._tracker.state)
+    start = StartOrder("j.0.0.0", 1, TaskProfile("j.0.0.0"), "", "")
+    orders = VmOrders("e", 0.0, EPOCH, "tcp://127.0.0.1:1", incarnation, 0.0, [start])
+    assert [outcome.outcome for outcome in agent.handle(orders).outcomes] == ["refused"]
--- a/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
@@ -201,6 +201,7 @@
         self.ended = []
         self.answers = True
         self.listens = True
+        self.born = 1
 
     def start(self, order, start, payload, deadline):
         rejected = start.task_id in self.rejected
@@ -212,6 +213,8 @@
     def hold(self, order, deadline, recorded_through, wait):
         if not self.answers:
             return Err(WorkerFailure(not self.listens, "connection failed"))
+        if order.born != self.born:
+            return Err(WorkerFailure(False, "another incarnation", True, self.born))
         return Ok(WorkerLists(1.0, [], list(self.ended)))
 
     def pace(self, order, task_id, run, percent):
@@ -237,10 +240,17 @@
         "_send_report",
         lambda report, state: bool(reports.append(report)) or True,
     )
-    agent.record_announcement(announce(1))
+    restart(agent, worker, 1)
     return agent
 
 
+def restart(agent, worker, born):
+    """Let the worker answer as an incarnation that announces itself to the agent."""
+    worker.born = born
+    agent.record_announcement(announce(born))
+    agent._poll_worker(0.01)
+
+
 def announce(born, draining=False):
     return WorkerAnnouncement(
         "w", born, "desk", "z1", 1, draining, Demand(4000, 8000), ()
@@ -251,7 +261,7 @@
     starts = [
         StartOrder(task_id, 1, TaskProfile(task_id), "", "") for task_id in task_ids
     ]
-    incarnation = f"vm-1/{agent._state.announcement.incarnation}"
+    incarnation = agent._tracker.get_vm_incarnation(agent._tracker.state)
     agent.handle(VmOrders("e", 0.0, 5, "tcp://127.0.0.1:1", incarnation, 0.0, starts))
 
 
@@ -273,15 +283,15 @@
     clock.advance(1.0)
     order_starts(agent, "after.0.0.0")
     worker.answers = True
-    agent.record_announcement(announce(2))
+    restart(agent, worker, 2)
     assert find_suspects(agent, reports) == [["bad.0.0.0"]]
 
 
-def test_worker_that_leaves_has_not_crashed(agent, reports):
+def test_worker_that_leaves_has_not_crashed(agent, worker, reports):
     """Guards against suspicion after a planned restart of a worker."""
     order_starts(agent, "good.0.0.0")
     agent.record_departure("w")
-    agent.record_announcement(announce(2))
+    restart(agent, worker, 2)
     assert find_suspects(agent, reports) == []
 
 
