Start no task elsewhere while a restarted worker may execute its order

Cause: the leader gave up all runs of a VM as soon as its worker was another incarnation. An order that was on its way is executed by a worker that restarted under its id, since the order names the id only; the run was started elsewhere as well. A report of the incarnation before, overtaken by one of the next, ended the next one's runs in the same way.

Change: tasks whose order was sent, or which an earlier leader placed, stay with a worker that is back under its id. If its lists don't show them they are revoked there first, or their order has expired; such a worker may hold the longest lease that workers accept. Reports of a replaced incarnation are ignored for 10 s. Runs at a worker with another id, which rejects the orders, are given up at once as before.

The test of a suspected task needs a second step, as the revocation comes first; what it checks is the same.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -23,6 +23,13 @@
 _EXPIRY_MARGIN = 0.4
 #: Seconds after which a granted lease has expired for certain.
 _LEASE_EXPIRY_SECONDS = WORKER_LEASE * _CLOCK_SKEW_FACTOR + _EXPIRY_MARGIN
+#: Longest lease that a worker accepts, in seconds on its clock.
+_LONGEST_LEASE = 6.0
+#: Seconds after which any lease that a worker has accepted has expired for certain.
+_LONGEST_LEASE_EXPIRY_SECONDS = _LONGEST_LEASE * _CLOCK_SKEW_FACTOR + _EXPIRY_MARGIN
+#: Seconds for which reports of a replaced incarnation may still arrive; longer than the
+#: agents' timeout for a report.
+_OLD_REPORT_SECONDS = 10.0
 #: Seconds after the first report of a term for which agents that have not reported may
 #: still be starting. When all processes restart, agents come back at different times,
 #: and their workers may list ends of runs that no leader has recorded.
@@ -31,6 +38,11 @@
 _OPERATIONS_VALID_SECONDS = 4.0
 
 
+def have_same_worker(incarnation: str, other: str) -> bool:
+    """Return whether two incarnations are of a worker with the same id on one VM."""
+    return incarnation.partition("~")[0] == other.partition("~")[0]
+
+
 class Fleet:
     """VMs by name and by the incarnation of their worker.
 
@@ -113,12 +125,14 @@
         """Replace the incarnation of a VM's worker.
 
         The tasks that an earlier leader placed on the new incarnation (see
-        ``add_orphan``) are added to the VM.
+        ``add_orphan``) are added to the VM. So are those whose orders a worker with the
+        same id may have executed after it restarted: until its lists or a stop show
+        that they don't run there, they must not be started elsewhere.
 
         Returns
         -------
         list of Task
-            Tasks that were placed on earlier incarnations, whose runs have ended.
+            Other tasks that were placed on earlier incarnations, whose runs have ended.
         """
         log_change(
             logger,
@@ -127,16 +141,13 @@
             worker=incarnation,
             before=vm.incarnation,
         )
-        self._first_heard_at = min(self._first_heard_at, self._clock.now())
-        lost = list(vm.tasks_by_id.values())
-        for task in lost:
-            vm.remove(task)
+        now = self._clock.now()
+        self._first_heard_at = min(self._first_heard_at, now)
+        lost, inherited = self._take_earlier_tasks(vm, incarnation)
         self._vms_by_incarnation.pop(vm.incarnation, None)
         self._vms_by_incarnation[incarnation] = vm
-        # A VM has one worker at a time: a new incarnation ends all earlier ones.
-        for other in list(self._orphans_by_incarnation):
-            if other != incarnation and other.partition("/")[0] == vm.name:
-                lost += self._orphans_by_incarnation.pop(other).values()
+        if vm.incarnation:
+            vm.replaced_until_by_incarnation[vm.incarnation] = now + _OLD_REPORT_SECONDS
         vm.incarnation = incarnation
         vm.fenced = False
         vm.clock = vm.lease_until = 0.0
@@ -147,8 +158,42 @@
         )
         for task in self._orphans_by_incarnation.pop(incarnation, {}).values():
             vm.add(task)
+        for task in inherited:
+            # A run that is not listed is revoked at once.
+            task.runner, task.placed_at = incarnation, 0.0
+            vm.add(task)
+        if inherited:
+            vm.leases_expired_at = max(
+                vm.leases_expired_at, now + _LONGEST_LEASE_EXPIRY_SECONDS
+            )
         return lost
 
+    def _take_earlier_tasks(
+        self, vm: Vm, incarnation: str
+    ) -> tuple[list[Task], list[Task]]:
+        """Remove the tasks placed on earlier incarnations of a VM's worker.
+
+        A VM has one worker at a time: a new incarnation ends all earlier ones.
+
+        Returns
+        -------
+        tuple of (list of Task, list of Task)
+            Tasks whose runs have ended, and those that the new incarnation may run.
+        """
+        placed = list(vm.tasks_by_id.values())
+        for task in placed:
+            vm.remove(task)
+        sent = [task for task in placed if task.sent]
+        lost = [task for task in placed if not task.sent]
+        for other in list(self._orphans_by_incarnation):
+            if other != incarnation and other.partition("/")[0] == vm.name:
+                sent += self._orphans_by_incarnation.pop(other).values()
+        inherited = []
+        for task in sent:
+            shares_id = have_same_worker(task.runner, incarnation)
+            (inherited if shares_id else lost).append(task)
+        return lost, inherited
+
     def grant_lease(self, vm: Vm, clock_ms: float) -> None:
         """Extend the lease of a VM's worker.
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/report_log.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/report_log.py
@@ -30,3 +30,11 @@
                 "known_clock": vm.clock,
             },
         )
+
+
+def log_late_report(vm: Vm, report: VmReport) -> None:
+    """Log a report of an incarnation that another one has replaced."""
+    logger.warning(
+        "report of a replaced incarnation ignored",
+        extra={"vm": vm.name, "worker": report.worker, "known": vm.incarnation},
+    )
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -49,7 +49,7 @@
 )
 from pollenkeel_jobs.core.ready_queue import Placed, ReadyQueue
 from pollenkeel_jobs.core.records import encode_progress
-from pollenkeel_jobs.core.report_log import log_odd_lists
+from pollenkeel_jobs.core.report_log import log_late_report, log_odd_lists
 from pollenkeel_jobs.core.speed import VmSpeeds
 from pollenkeel_jobs.core.stops import StopOrderQueue
 from pollenkeel_jobs.core.tables import RowWrite
@@ -235,7 +235,9 @@
             now = self._clock.now()
             if vm is None:
                 return VmReportReply("", now, self.epoch)
-            if report.epoch == self.epoch and report.worker:
+            if vm.is_replaced(report.worker, now):
+                log_late_report(vm, report)
+            elif report.epoch == self.epoch and report.worker:
                 self._apply_report(vm, report, now)
                 if report.clock and may_grant_lease:
                     self._fleet.grant_lease(vm, report.clock)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -52,6 +52,9 @@
     incarnation : str
         Incarnation of the worker according to the last report, as
         ``<vm>/<worker id>~<start time>``.
+    replaced_until_by_incarnation : dict of str to float
+        Replaced incarnations and the time until which late reports of them are ignored,
+        in seconds since the Unix epoch.
     heard_at : float
         Time of the last report, in seconds since the Unix epoch.
     listed_at : float
@@ -111,6 +114,7 @@
     rejecting: bool = False
     capacity: Demand = attrs.field(factory=Demand)
     labels: frozenset[str] = frozenset()
+    replaced_until_by_incarnation: dict[str, float] = attrs.field(factory=dict)
     heard_at: float = 0.0
     listed_at: float = 0.0
     fenced: bool = False
@@ -144,6 +148,13 @@
         profiles = self.profiles_by_task.values()
         return {profile.image for profile in profiles if profile.fills}
 
+    def is_replaced(self, incarnation: str, now: float) -> bool:
+        """Return whether a report of this incarnation must be out of date."""
+        for name, until in list(self.replaced_until_by_incarnation.items()):
+            if now >= until:
+                del self.replaced_until_by_incarnation[name]
+        return incarnation in self.replaced_until_by_incarnation
+
     def has_room_for(self, demand: Demand) -> bool:
         """Return whether a demand fits beside placed tasks and other runs."""
         capacity, reserved, other = (
--- /dev/null
+++ b/packages/pollenkeel-jobs/tests/core/test_incarnations.py
@@ -0,0 +1,71 @@
+"""Tests of the leader's view of workers that restart and of late reports."""
+
+import pytest
+from jobs_doubles import Site, make_job
+
+from pollenkeel_jobs.core.messages import RunningTask
+from pollenkeel_jobs.core.model import Demand, StepSpec
+
+TASK = "j1.0.0.0"
+
+
+@pytest.fixture
+def site(clock):
+    """Two VMs, of which the first runs the only task."""
+    site = Site(clock, vms=2)
+    site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 1000), 1.0),)))
+    site.step()
+    assert [run.task_id for run in site.vms[0].running] == [TASK]
+    return site
+
+
+def test_order_that_a_restarted_worker_executes_is_not_repeated(site):
+    """Guards against a task on two VMs after its worker restarted under its id."""
+    vm, other = site.vms
+    vm.crash()
+    vm.running.append(RunningTask(TASK, 1))
+    for _ in range(3):
+        site.step()
+    assert ([run.run for run in vm.running], other.running) == ([1], [])
+    vm.end(TASK)
+    site.step()
+    assert site.scheduler.find_status("j1").value == "done"
+
+
+def test_run_is_revoked_at_a_restarted_worker_before_it_is_replaced(site, clock):
+    """Guards against an order that a restarted worker executes late."""
+    vm, other = site.vms
+    vm.crash()
+    vm.report()
+    assert not other.running
+    planned = site.scheduler.plan()
+    assert [stop.task_id for batch in planned.order_batches for stop in batch.stops]
+    assert not any(batch.starts for batch in planned.order_batches)
+
+
+def test_task_moves_at_once_from_a_worker_with_another_id(site):
+    """A worker rejects the orders for one with another id."""
+    vm, other = site.vms
+    vm.incarnation = "vm-0/w2~5"
+    vm.running.clear()
+    site.step()
+    assert site.running == [TASK]
+
+
+def test_late_report_of_a_replaced_worker_is_ignored(site, clock):
+    """Guards against sound runs that are given up for a report that was overtaken."""
+    vm, other = site.vms
+    earlier = vm.incarnation
+    vm.incarnation = "vm-0/w2~5"
+    vm.running.clear()
+    site.step()
+    holder = next(double for double in site.vms if double.running)
+    later, vm.incarnation = vm.incarnation, earlier
+    running, vm.running = vm.running, []
+    vm.report()
+    vm.incarnation, vm.running = later, running
+    assert vm.vm.incarnation == later
+    for _ in range(3):
+        site.step()
+    assert [double for double in site.vms if double.running] == [holder]
+    assert holder.running[0].run == 2
--- a/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
@@ -169,6 +169,8 @@
     site.step()
     holder = next(vm for vm in site.vms if vm.running)
     holder.crash(RunKey("j1.0.0.0", 1))
+    # The worker is back under its id: the run is revoked there before it is replaced.
+    site.step()
     site.step()
     other = next(vm for vm in site.vms if vm is not holder)
     assert [run.task_id for run in other.running] == ["j1.0.0.0"]
