--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -188,7 +188,7 @@
         for other in list(self._orphans_by_incarnation):
             if other != incarnation and other.partition("/")[0] == vm.name:
                 sent += self._orphans_by_incarnation.pop(other).values()
-        inherited = []
+        inherited: list[Task] = []
         for task in sent:
             shares_id = have_same_worker(task.runner, incarnation)
             (inherited if shares_id else lost).append(task)
