Take for stalled only what could have shown progress, and confirm it elsewhere

Cause: a run whose whole percent had not changed for 2 s counted as stalled. A task of over 200 s takes longer for each percent, so every run of it was stopped, again and again.

Ruled out: a longer fixed limit, which finds a hung task of a second late and still stops a slow task of an hour; trust in the declared run time alone, which is rough in both directions; counting every second stop against the worker, which closes all workers when two jobs declare too short a time.

Change: the limit is 2 s, or eight times what a percent should take if that is longer: by the run's own pace, else by that of like tasks, else by the declared run time. It is longer away from the task's data and while a checkpoint is restored, and a member that waits for its gang has not stalled. Times are those of the worker's lists, so that a late report or a frozen leader is no stall. After a stop the next run may take four times as long. The stop counts against the worker once that run has shown on another worker that it advances at least four times as fast; until then the worker is only chosen last, for 3 s.

A wrong suspicion costs one stop. It is kept in memory, so that a new leader may make it once more.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from pollenkeel_jobs.core.run_progress import RunProgress
+
 
 @attrs.frozen
 class Demand:
@@ -243,6 +245,25 @@
     index: int
 
 
+@attrs.frozen
+class Suspicion:
+    """Stop of a run that seemed to have stalled.
+
+    Attributes
+    ----------
+    worker : str
+        Incarnation of the worker that had the run.
+    seconds : float
+        Time without progress after which the run was stopped.
+    count : int
+        Number of such stops of the task in a row, including this one.
+    """
+
+    worker: str
+    seconds: float
+    count: int
+
+
 @attrs.define(eq=False)
 class Task:
     """Progress of one task.
@@ -275,10 +296,11 @@
         Whether the run is being stopped so that the task runs elsewhere.
     ready_at : float
         Time at which the task began to wait for a VM, in seconds since the Unix epoch.
-    percent : int
-        Progress of the latest run in percent.
-    progress_at : float
-        Time of the last report with new progress, in seconds since the Unix epoch.
+    progress : RunProgress
+        Progress of the latest run.
+    suspicion : Suspicion or None
+        Latest stop of a run that seemed to have stalled, until the progress of a later
+        run confirms or refutes that it had.
     starved_since : float
         Time since which the run has got little CPU, in seconds since the Unix epoch; 0
         if it gets enough.
@@ -307,8 +329,8 @@
     sent: bool = False
     stop_wanted: bool = False
     ready_at: float = 0.0
-    percent: int = 0
-    progress_at: float = 0.0
+    progress: RunProgress = attrs.field(factory=RunProgress)
+    suspicion: Suspicion | None = None
     starved_since: float = 0.0
     use: float = 0.0
     ticket: str = ""
@@ -321,14 +343,19 @@
 
     def reset_run(self) -> None:
         """Clear the state of the latest run."""
-        self.seen_at = self.progress_at = 0.0
-        self.percent = 0
+        self.seen_at = 0.0
+        self.progress = RunProgress()
         self.sent = False
         self.stop_wanted = False
         self.starved_since = 0.0
         self.use = 0.0
         self.ticket = ""
 
+    @property
+    def percent(self) -> int:
+        """Progress of the latest run in percent."""
+        return self.progress.percent
+
     def has_crashed_vm(self, name: str) -> bool:
         """Return whether a worker of this VM crashed after it had started the task."""
         return any(worker.partition("/")[0] == name for worker in self.crashed_on)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -43,6 +43,8 @@
 #: Load added if the task failed or stalled on the VM's current worker, or may have
 #: crashed a worker of the VM.
 _FAILED_BEFORE_PENALTY = 5.0
+#: Load added while a run on the VM seems to have stalled, see ``Vm.avoided_until``.
+_AVOIDED_PENALTY = 2.0
 #: Load added if the task's data is on another rack.
 _REMOTE_DATA_PENALTY = 1.0
 
@@ -140,6 +142,8 @@
             score += _INTERFERENCE_FACTOR * self._estimate_headroom_loss(task, vm)
         if vm.incarnation in task.failed_on or task.has_crashed_vm(vm.name):
             score += _FAILED_BEFORE_PENALTY
+        if self.now < vm.avoided_until:
+            score += _AVOIDED_PENALTY
         if step.data_rack and step.data_rack not in vm.labels:
             score += _REMOTE_DATA_PENALTY
         return score
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
@@ -21,17 +21,17 @@
 _MIN_USE_SHARE = 0.25
 #: Time constant of the mean headroom of a latency-critical image, in seconds.
 _HEADROOM_SECONDS = 1.0
-#: Seconds without progress after which a run counts as stalled.
-_STALL_SECONDS = 2.0
-#: Progress in percent that a long-running task reports while it is at work.
-_SERVING_PERCENT = 100
 
 
-def update_run(task: Task, running: RunningTask, paced: bool, now: float) -> None:
+def update_run(
+    vm: Vm, task: Task, running: RunningTask, paced: bool, now: float
+) -> None:
     """Update a task from a run that its worker lists.
 
     Parameters
     ----------
+    vm : Vm
+        VM of the worker.
     task : Task
         The task of the run.
     running : RunningTask
@@ -46,10 +46,9 @@
     if running.checkpoint:
         task.checkpoint = running.checkpoint
     step = task.step
-    advanced = running.percent != task.percent or not task.progress_at
-    if advanced or (paced and step.fills):
-        task.percent = running.percent
-        task.progress_at = now
+    task.progress.record(running.percent, vm.clock)
+    if paced and step.fills:
+        task.progress.excuse(vm.clock)
     if not step.fills:
         return
     share = running.figure / max(1, step.demand.cpu)
@@ -72,16 +71,6 @@
             vm.best_effort_use_by_task[run.task_id] = max(run.figure, least)
 
 
-def has_stalled(task: Task, now: float) -> bool:
-    """Return whether a run has made no progress for too long.
-
-    A throttled run does not count as stalled, see ``update_run``.
-    """
-    if task.step.long_running and task.percent >= _SERVING_PERCENT:
-        return False
-    return not task.stop_wanted and now - task.progress_at > _STALL_SECONDS
-
-
 def update_headroom(
     vm: Vm, running: Iterable[RunningTask], interference: InterferenceModel, now: float
 ) -> None:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -42,7 +42,6 @@
 from pollenkeel_jobs.core.placement import LeastLoaded
 from pollenkeel_jobs.core.placement_log import WaitLog, log_interference
 from pollenkeel_jobs.core.progress import (
-    has_stalled,
     update_best_effort_use,
     update_headroom,
     update_run,
@@ -50,6 +49,7 @@
 from pollenkeel_jobs.core.ready_queue import Placed, ReadyQueue
 from pollenkeel_jobs.core.records import encode_progress
 from pollenkeel_jobs.core.speed import VmSpeeds
+from pollenkeel_jobs.core.stalls import StallDetector
 from pollenkeel_jobs.core.stops import StopOrderQueue
 from pollenkeel_jobs.core.tables import RowWrite
 from pollenkeel_jobs.core.vms import Vm, make_profile
@@ -104,6 +104,7 @@
         self._queue = ReadyQueue(self._jobs, self._tickets, self._placement)
         self._migration = Migration(self._placement)
         self._speeds = VmSpeeds()
+        self._stalls = StallDetector(self._speeds, self._fleet.quarantine)
         self._wait_log = WaitLog()
         self._next_migration_at = 0.0
         self._next_weights_write_at = 0.0
@@ -306,11 +307,12 @@
                 self._stop(vm, running.task_id, running.run, now)
                 continue
             self._jobs.mark_started(task.job)
-            update_run(task, running, report.paced, now)
+            update_run(vm, task, running, report.paced, now)
+            self._stalls.judge(vm, task, now)
             if vm.trial is task and now - task.seen_at >= TRIAL_SECONDS:
                 vm.trial = None
-            if has_stalled(task, now):
-                self._stop_stalled(vm, task, now)
+            if self._stalls.has_stalled(vm, task):
+                self._stalls.suspect(vm, task, now)
             if (
                 task.state is not TaskState.PLACED
                 or task.stop_wanted
@@ -358,20 +360,6 @@
             elif task.sent and now - task.placed_at > _UNLISTED_RUN_SECONDS:
                 self._stop(vm, task.task_id, task.run, now)
 
-    def _stop_stalled(self, vm: Vm, task: Task, now: float) -> None:
-        log_change(
-            logger,
-            "run stalled",
-            task=task.task_id,
-            run=task.run,
-            vm=vm.name,
-            percent=task.percent,
-            since=round(now - task.progress_at, 2),
-        )
-        task.stop_wanted = True
-        task.failed_on.add(vm.incarnation)
-        self._fleet.quarantine.record(vm.incarnation, task.job.spec.job_id, True, now)
-
     def _stop(self, vm: Vm, task_id: str, run: int, now: float) -> None:
         """Order a run to be stopped, or to be revoked if it has not started."""
         if self._stops.add(vm, task_id, run, now):
@@ -423,6 +411,7 @@
         self._fleet.quarantine.record(vm.incarnation, task.job.spec.job_id, failed, now)
         if not failed:
             self._speeds.observe(vm, task, now)
+            self._stalls.judge_done(vm, task, now)
 
     @staticmethod
     def _store_checkpoint(task: Task, checkpoint: str) -> None:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/speed.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/speed.py
@@ -36,6 +36,14 @@
         self._correction_by_queue: dict[str, float] = {}
         self._means_by_step: dict[tuple[str, int], _Mean] = {}
 
+    def expect_seconds(self, task: Task) -> float:
+        """Return the expected run time of a task in seconds; 0 if it is not known."""
+        mean = self._means_by_step.get(_get_step_key(task))
+        if mean is not None:
+            return mean.total / mean.count
+        queue = task.job.spec.queue.name
+        return task.step.estimate * self._correction_by_queue.get(queue, 1.0)
+
     def observe(self, vm: Vm, task: Task, now: float) -> None:
         """Update the VM's slowness from a completed run.
 
@@ -56,12 +64,8 @@
             return
         seconds = now - task.placed_at
         queue = task.job.spec.queue.name
-        mean = self._means_by_step.setdefault(
-            (task.job.spec.job_id, task.key.step), _Mean()
-        )
-        expected = step.estimate * self._correction_by_queue.get(queue, 1.0)
-        if mean.count:
-            expected = mean.total / mean.count
+        expected = self.expect_seconds(task)
+        mean = self._means_by_step.setdefault(_get_step_key(task), _Mean())
         mean.total += seconds
         mean.count += 1
         if expected <= 0:
@@ -74,3 +78,7 @@
             self._correction_by_queue[queue] = known + _QUEUE_SMOOTHING * (
                 newest - known
             )
+
+
+def _get_step_key(task: Task) -> tuple[str, int]:
+    return task.job.spec.job_id, task.key.step
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -70,6 +70,9 @@
         Number of the last ended run whose effect is recorded.
     slowness : float
         Factor by which tasks run longer than on other VMs, at least 1.
+    avoided_until : float
+        Time until which other VMs are preferred, as a run seems to have stalled here,
+        in seconds since the Unix epoch.
     reserved_demand : Demand
         Resources reserved by the placed tasks.
     unplaced_demand : Demand
@@ -117,6 +120,7 @@
     ended_through: int = 0
     recorded_through: int = 0
     slowness: float = 1.0
+    avoided_until: float = 0.0
     reserved_demand: Demand = attrs.field(factory=Demand)
     unplaced_demand: Demand = attrs.field(factory=Demand)
     has_unknown_runs: bool = False
