Suspect no task of a crash that ran soundly, and let suspicion fade

Cause: the agent suspects the runs that its worker had started last, however long ago, and a task's crashes were counted over its whole life.

Ruled out: a suspicion that fades with time alone. A task that does crash its workers may wait long for its trial and would then be started more often than promised (BUDGET). Counting three crashes for lasting tasks only puts the loss off. Leaving it to the agent: it doesn't know for how long the worker listed a run.

Change: a run that its worker has listed for 2 s is no suspect, and drops the crashes before it. Agents repeat their reports of crashes, also to a new leader; so the row of the job records up to which run none counts, once a crash was dropped.

Conclusion: two crashes count together only if each came before the task had been listed for 2 s and no sound run lay between them. A leader that takes over less than 2 s before such a crash still counts it; the next sound run drops it.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -283,7 +283,11 @@
     runner : str
         Incarnation of the worker on which the latest run was placed.
     crashed_on : set of str
-        Incarnations of workers that crashed shortly after they had started the task.
+        Incarnations of workers that crashed shortly after they had started the task,
+        since its latest sound run.
+    acquitted_through : int
+        Number of a run up to which crashes do not count, because it ran soundly. Agents
+        repeat their reports of crashes, also to a new leader.
     placed_at, seen_at : float
         Time of the placement and of the first report that lists the run, in seconds
         since the Unix epoch; 0 if it has not happened under this leader.
@@ -298,6 +302,9 @@
         Time at which the task began to wait for a VM, in seconds since the Unix epoch.
     progress : RunProgress
         Progress of the latest run.
+    sound_run : int
+        Number of the latest run that its worker has listed for a while, see
+        ``record_sound_run``.
     suspicion : Suspicion or None
         Latest stop of a run that seemed to have stalled, until the progress of a later
         run confirms or refutes that it had.
@@ -322,6 +329,7 @@
     checkpoint: str = ""
     runner: str = ""
     crashed_on: set[str] = attrs.field(factory=set)
+    acquitted_through: int = 0
 
     placed_at: float = 0.0
     seen_at: float = 0.0
@@ -330,6 +338,7 @@
     stop_wanted: bool = False
     ready_at: float = 0.0
     progress: RunProgress = attrs.field(factory=RunProgress)
+    sound_run: int = 0
     suspicion: Suspicion | None = None
     starved_since: float = 0.0
     use: float = 0.0
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
@@ -16,6 +16,7 @@
     JobStatus,
     QueuePolicy,
     StepSpec,
+    Task,
     TaskState,
 )
 
@@ -92,8 +93,17 @@
         raise ValueError(f"{name} is {value!r:.40}; expected an integer >= {least}")
 
 
-def _decode_crashes(workers: Iterable[object] = ()) -> set[str]:
-    return {_check_text("crashed worker", worker) for worker in workers}
+def _encode_crashes(task: Task) -> list[Any]:
+    if task.acquitted_through:
+        return [sorted(task.crashed_on), task.acquitted_through]
+    return [sorted(task.crashed_on)] if task.crashed_on else []
+
+
+def _decode_crashes(
+    workers: Iterable[object] = (), acquitted_through: int = 0
+) -> tuple[set[str], int]:
+    _check_count("acquitted_through", acquitted_through, 0)
+    return {_check_text("crashed worker", w) for w in workers}, acquitted_through
 
 
 def _check_text(name: str, value: object) -> str:
@@ -111,8 +121,8 @@
     """Return the row value of a job's progress.
 
     The row of an ended job holds only its status and whether it was cancelled. In other
-    rows, tasks refer to their runner by its index in a list, and only tasks that may
-    have crashed workers have a list of these.
+    rows, tasks refer to their runner by its index in a list, and only tasks that were
+    suspected of crashes have a list of these and the run up to which none counts.
     """
     if job.status.final:
         return bytes(msgpack.packb([job.status.value, job.cancelled]))
@@ -126,7 +136,7 @@
                 task.failures,
                 runners.setdefault(task.runner, len(runners)),
                 task.checkpoint,
-                *([sorted(task.crashed_on)] if task.crashed_on else []),
+                *_encode_crashes(task),
             ]
             for task in tasks
         ]
@@ -183,7 +193,7 @@
             task.run, task.failures = run, failures
             task.runner = _check_text("runner", runners[runner])
             task.checkpoint = _check_text("checkpoint", checkpoint)
-            task.crashed_on = _decode_crashes(*crashes)
+            task.crashed_on, task.acquitted_through = _decode_crashes(*crashes)
 
 
 def _encode_step(step: StepSpec) -> dict[str, Any]:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -13,7 +13,11 @@
 import logbook
 
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketCache
-from pollenkeel_jobs.core.crashes import TRIAL_SECONDS, record_crash
+from pollenkeel_jobs.core.crashes import (
+    TRIAL_SECONDS,
+    record_crash,
+    record_sound_run,
+)
 from pollenkeel_jobs.core.fleet import Fleet
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
@@ -309,6 +313,7 @@
             self._jobs.mark_started(task.job)
             update_run(vm, task, running, report.paced, now)
             self._stalls.judge(vm, task, now)
+            record_sound_run(self._jobs, vm, task)
             if vm.trial is task and now - task.seen_at >= TRIAL_SECONDS:
                 vm.trial = None
             if self._stalls.has_stalled(vm, task):
--- a/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
@@ -14,6 +14,7 @@
     StartOrder,
     TaskProfile,
     VmOrders,
+    WorkerCrash,
 )
 from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
 from pollenkeel_jobs.core.names import PROGRESS
@@ -162,6 +163,99 @@
     assert site.running == ["j1.0.0.0"]
 
 
+def crash_under(site, task_id):
+    """Crash the worker of a task, whose agent suspects the task alone."""
+    holder = next(
+        vm for vm in site.vms if task_id in {run.task_id for run in vm.running}
+    )
+    run = next(run.run for run in holder.running if run.task_id == task_id)
+    holder.crash(RunKey(task_id, run))
+    site.step()
+
+
+def run_soundly(site, seconds=3.0):
+    for _ in range(int(seconds / STEP_SECONDS)):
+        site.clock.advance(STEP_SECONDS)
+        for vm in site.vms:
+            vm.running = [attrs.evolve(run, percent=100) for run in vm.running]
+        site.step()
+
+
+def succeed(site, job):
+    """Return the site of a new leader with the same VMs and recorded progress."""
+    successor = Site(site.clock, len(site.vms))
+    progress = site.rows_by_key.get((PROGRESS, job.job_id))
+    successor.scheduler.load([(encode_job(job), progress)])
+    for vm, before in zip(successor.vms, site.vms, strict=True):
+        vm.incarnation, vm.crashes = before.incarnation, before.crashes
+        vm.running, vm.ended = before.running, before.ended
+    successor.rows_by_key = site.rows_by_key
+    return successor
+
+
+def test_task_that_ran_soundly_is_no_suspect(clock):
+    """A lasting job was given up after two crashes of workers 17 s apart."""
+    site = Site(clock, vms=4)
+    site.scheduler.add_job(make_job(steps=(make_step(3, long_running=True),)))
+    site.step()
+    for _ in range(5):
+        run_soundly(site, 17.0)
+        crash_under(site, "j1.0.0.0")
+    assert site.scheduler.find_status("j1") is JobStatus.RUNNING
+    assert site.running == ["j1.0.0.0", "j1.0.0.1", "j1.0.0.2"]
+
+
+def test_suspicion_fades_once_the_task_runs_soundly(clock):
+    """Guards against crashes that count together however far apart they are."""
+    site = Site(clock, vms=4)
+    site.scheduler.add_job(make_job(steps=(make_step(1, long_running=True),)))
+    site.step()
+    crash_under(site, "j1.0.0.0")
+    for _ in range(5):
+        run_soundly(site)
+        for vm in site.vms:
+            vm.crash()
+        site.step()
+        crash_under(site, "j1.0.0.0")
+        assert site.scheduler.find_status("j1") is JobStatus.RUNNING
+    crash_under(site, "j1.0.0.0")
+    assert site.scheduler.find_status("j1") is JobStatus.FAILED
+
+
+def test_crash_that_does_not_count_is_not_counted_by_the_next_leader(clock):
+    """Agents repeat their reports of crashes, also to a leader that saw no run."""
+    job = make_job(steps=(make_step(1, long_running=True),))
+    site = Site(clock, vms=4)
+    site.scheduler.add_job(job)
+    site.step()
+    for _ in range(4):
+        run_soundly(site)
+        crash_under(site, "j1.0.0.0")
+        crash_under(site, "j1.0.0.0")
+        run_soundly(site)
+        site.step()
+        site = succeed(site, job)
+        site.step()
+        assert site.scheduler.find_status("j1") is JobStatus.RUNNING
+
+
+def test_late_report_of_a_crash_after_a_sound_run_keeps_later_suspicion(clock):
+    """Guards against a task that is tried again for a crash before its latest run."""
+    site = Site(clock, vms=4)
+    site.scheduler.add_job(make_job(steps=(make_step(1, long_running=True),)))
+    site.step()
+    run_soundly(site)
+    holder = next(vm for vm in site.vms if vm.running)
+    holder.crash()
+    before = f"{holder.name}/w~1"
+    site.step()
+    crash_under(site, "j1.0.0.0")
+    holder.crashes.append(WorkerCrash(before, [RunKey("j1.0.0.0", 1)]))
+    site.step()
+    crash_under(site, "j1.0.0.0")
+    assert site.scheduler.find_status("j1") is JobStatus.FAILED
+
+
 def test_suspected_task_runs_on_another_vm_and_apart(clock):
     """Guards against a crash that ends the tasks started beside a suspected one."""
     site = Site(clock, vms=2)
