Start all members of a gang from one checkpoint

Cause: the checkpoint in a worker's list was stored for its member only; only an end stored one for the whole gang.

Ruled out: choosing one at the placement alone, as the values are opaque and the choice may be an old one. Storing what each list says, as the late list of one member would undo the newer checkpoint of another in turn.

Change: a checkpoint that a worker lists for the first time is stored for all members, as that of an end is. The placement takes one for all, which also covers rows of earlier versions. The orders carry the checkpoint of the placement: a member that ends before the orders of others are sent no longer changes theirs.

Conclusion: the orders of one run of a gang carry one checkpoint, the latest that any member has reported.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -279,7 +279,7 @@
         Number of failed runs.
     checkpoint : str
         Latest checkpoint as reported by the worker, passed to the next run unread;
-        empty for none.
+        empty for none. Of a gang, the latest that any member has reported.
     runner : str
         Incarnation of the worker on which the latest run was placed.
     crashed_on : set of str
@@ -302,6 +302,8 @@
         Time at which the task began to wait for a VM, in seconds since the Unix epoch.
     progress : RunProgress
         Progress of the latest run.
+    listed_checkpoint : str
+        Checkpoint of the latest run as last listed by its own worker.
     sound_run : int
         Number of the latest run that its worker has listed for a while, see
         ``record_sound_run``.
@@ -338,6 +340,7 @@
     stop_wanted: bool = False
     ready_at: float = 0.0
     progress: RunProgress = attrs.field(factory=RunProgress)
+    listed_checkpoint: str = ""
     sound_run: int = 0
     suspicion: Suspicion | None = None
     starved_since: float = 0.0
@@ -354,6 +357,7 @@
         """Clear the state of the latest run."""
         self.seen_at = 0.0
         self.progress = RunProgress()
+        self.listed_checkpoint = ""
         self.sent = False
         self.stop_wanted = False
         self.starved_since = 0.0
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/passes.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/passes.py
@@ -12,10 +12,20 @@
 
 @attrs.frozen
 class PlannedStart:
-    """A placed run; ``run`` distinguishes it from later runs of the same task."""
+    """A placed run.
+
+    Attributes
+    ----------
+    run : int
+        Number of the run, which distinguishes it from later ones of the same task.
+    checkpoint : str
+        Checkpoint to resume from as of the placement; the same for all members of a
+        gang. A member may report a newer one before the orders of others are sent.
+    """
 
     task: Task
     run: int
+    checkpoint: str
 
 
 @attrs.define
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
@@ -6,6 +6,7 @@
 
 from pollenkeel_jobs.core.headroom import compute_headroom
 from pollenkeel_jobs.core.interference_model import InterferenceModel
+from pollenkeel_jobs.core.job_table import list_step_tasks
 from pollenkeel_jobs.core.messages import RunningTask
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.vms import Vm
@@ -43,8 +44,9 @@
         Current time in seconds since the Unix epoch.
     """
     task.seen_at = task.seen_at or now
-    if running.checkpoint:
-        task.checkpoint = running.checkpoint
+    if running.checkpoint != task.listed_checkpoint:
+        task.listed_checkpoint = running.checkpoint
+        store_checkpoint(task, running.checkpoint)
     step = task.step
     task.progress.record(running.percent, vm.clock)
     if paced and step.fills:
@@ -60,6 +62,18 @@
         task.starved_since = now
 
 
+def store_checkpoint(task: Task, checkpoint: str) -> None:
+    """Store the checkpoint of a run, if it has one; a gang has one for all members.
+
+    The checkpoint of any member is valid for its gang, and all must resume from the
+    same one.
+    """
+    if not checkpoint:
+        return
+    for member in list_step_tasks(task) if task.step.gang else [task]:
+        member.checkpoint = checkpoint
+
+
 def update_best_effort_use(vm: Vm, running: Iterable[RunningTask], now: float) -> None:
     """Update the CPU use of a VM's best-effort tasks that have warmed up."""
     for run in running:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -22,11 +22,18 @@
 
 @attrs.frozen
 class Placed:
-    """VM on which a task's resources are reserved for its next run."""
+    """VM on which a task's resources are reserved for its next run.
+
+    Attributes
+    ----------
+    checkpoint : str
+        Checkpoint from which the run resumes; empty for none.
+    """
 
     task: Task
     vm: Vm
     run: int
+    checkpoint: str
 
 
 class ReadyQueue:
@@ -120,7 +127,9 @@
         if chosen is None:
             return []
         run = max(member.run for member in members) + 1
-        return [Placed(member, vm, run) for member, vm in chosen.items()]
+        # Members share their checkpoints, but earlier versions recorded one for each.
+        checkpoint = next((m.checkpoint for m in members if m.checkpoint), "")
+        return [Placed(member, vm, run, checkpoint) for member, vm in chosen.items()]
 
 
 def _may_begin_trial(vms: list[Vm]) -> bool:
@@ -131,7 +140,7 @@
 def _place_task(task: Task, candidates: Candidates) -> list[Placed]:
     """Place a task on the best candidate, if there is one."""
     vm = candidates.reserve(task)
-    return [] if vm is None else [Placed(task, vm, task.run + 1)]
+    return [] if vm is None else [Placed(task, vm, task.run + 1, task.checkpoint)]
 
 
 def _queue_order(task: Task, now: float) -> tuple[int, bool, float, str]:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -46,6 +46,7 @@
 from pollenkeel_jobs.core.placement import LeastLoaded
 from pollenkeel_jobs.core.placement_log import WaitLog, log_interference
 from pollenkeel_jobs.core.progress import (
+    store_checkpoint,
     update_best_effort_use,
     update_headroom,
     update_run,
@@ -397,7 +398,7 @@
         RUNS_ENDED.labels(ended.how).inc()
         vm.remove(task)
         self._jobs.mark_started(task.job)
-        self._store_checkpoint(task, ended.checkpoint)
+        store_checkpoint(task, ended.checkpoint)
         if ended.how in ("done", "failed") and not task.step.long_running:
             self._record_vm_result(vm, task, ended.how == "failed", now)
         if task.job.status.final or task.state is TaskState.DONE:
@@ -418,16 +419,6 @@
             self._speeds.observe(vm, task, now)
             self._stalls.judge_done(vm, task, now)
 
-    @staticmethod
-    def _store_checkpoint(task: Task, checkpoint: str) -> None:
-        """Store the checkpoint of a run; a gang has one for all its members."""
-        if not checkpoint:
-            return
-        task.checkpoint = checkpoint
-        if task.step.gang:
-            for member in list_step_tasks(task):
-                member.checkpoint = checkpoint
-
     def _record_failure(self, task: Task, vm: Vm) -> bool:
         """Count a failed run; return whether the attempts are used up.
 
@@ -525,7 +516,7 @@
                 profile = make_profile(task)
                 orders.append(
                     StartOrder(
-                        task.task_id, task.run, profile, task.checkpoint, task.ticket
+                        task.task_id, task.run, profile, start.checkpoint, task.ticket
                     )
                 )
                 payloads_by_job[task.job.spec.job_id] = task.job.spec.payload
@@ -641,7 +632,7 @@
         task.ticket = self._tickets.find(task, vm)
         self._fleet.quarantine.started(vm.incarnation, now)
         self._jobs.dirty[task.job] = None
-        self._unsent_starts.append(PlannedStart(task, placed.run))
+        self._unsent_starts.append(PlannedStart(task, placed.run, placed.checkpoint))
         RUNS_PLACED.inc()
         WAIT_SECONDS.observe(now - task.ready_at)
         log_change(
