--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from pollenkeel_jobs.core.run_progress import RunProgress
+
 
 @attrs.frozen
 class Demand:
@@ -243,6 +245,25 @@
     index: int
 
 
+@attrs.frozen
+class Suspicion:
+    """Stop of a run that seemed to have stalled.
+
+    Attributes
+    ----------
+    worker : str
+        Incarnation of the worker that had the run.
+    seconds : float
+        Time without progress after which the run was stopped.
+    count : int
+        Number of such stops of the task in a row, including this one.
+    """
+
+    worker: str
+    seconds: float
+    count: int
+
+
 @attrs.define(eq=False)
 class Task:
     """Progress of one task.
@@ -258,11 +279,15 @@
         Number of failed runs.
     checkpoint : str
         Latest checkpoint as reported by the worker, passed to the next run unread;
-        empty for none.
+        empty for none. Of a gang, the latest that any member has reported.
     runner : str
         Incarnation of the worker on which the latest run was placed.
     crashed_on : set of str
-        Incarnations of workers that crashed shortly after they had started the task.
+        Incarnations of workers that crashed shortly after they had started the task,
+        since its latest sound run.
+    acquitted_through : int
+        Number of a run up to which crashes do not count, because it ran soundly. Agents
+        repeat their reports of crashes, also to a new leader.
     placed_at, seen_at : float
         Time of the placement and of the first report that lists the run, in seconds
         since the Unix epoch; 0 if it has not happened under this leader.
@@ -275,10 +300,16 @@
         Whether the run is being stopped so that the task runs elsewhere.
     ready_at : float
         Time at which the task began to wait for a VM, in seconds since the Unix epoch.
-    percent : int
-        Progress of the latest run in percent.
-    progress_at : float
-        Time of the last report with new progress, in seconds since the Unix epoch.
+    progress : RunProgress
+        Progress of the latest run.
+    listed_checkpoint : str
+        Checkpoint of the latest run as last listed by its own worker.
+    sound_run : int
+        Number of the latest run that its worker has listed for a while, see
+        ``record_sound_run``.
+    suspicion : Suspicion or None
+        Latest stop of a run that seemed to have stalled, until the progress of a later
+        run confirms or refutes that it had.
     starved_since : float
         Time since which the run has got little CPU, in seconds since the Unix epoch; 0
         if it gets enough.
@@ -300,6 +331,7 @@
     checkpoint: str = ""
     runner: str = ""
     crashed_on: set[str] = attrs.field(factory=set)
+    acquitted_through: int = 0
 
     placed_at: float = 0.0
     seen_at: float = 0.0
@@ -307,8 +339,10 @@
     sent: bool = False
     stop_wanted: bool = False
     ready_at: float = 0.0
-    percent: int = 0
-    progress_at: float = 0.0
+    progress: RunProgress = attrs.field(factory=RunProgress)
+    listed_checkpoint: str = ""
+    sound_run: int = 0
+    suspicion: Suspicion | None = None
     starved_since: float = 0.0
     use: float = 0.0
     ticket: str = ""
@@ -321,14 +355,20 @@
 
     def reset_run(self) -> None:
         """Clear the state of the latest run."""
-        self.seen_at = self.progress_at = 0.0
-        self.percent = 0
+        self.seen_at = 0.0
+        self.progress = RunProgress()
+        self.listed_checkpoint = ""
         self.sent = False
         self.stop_wanted = False
         self.starved_since = 0.0
         self.use = 0.0
         self.ticket = ""
 
+    @property
+    def percent(self) -> int:
+        """Progress of the latest run in percent."""
+        return self.progress.percent
+
     def has_crashed_vm(self, name: str) -> bool:
         """Return whether a worker of this VM crashed after it had started the task."""
         return any(worker.partition("/")[0] == name for worker in self.crashed_on)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
@@ -6,6 +6,7 @@
 
 from pollenkeel_jobs.core.headroom import compute_headroom
 from pollenkeel_jobs.core.interference_model import InterferenceModel
+from pollenkeel_jobs.core.job_table import list_step_tasks
 from pollenkeel_jobs.core.messages import RunningTask
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.vms import Vm
@@ -21,17 +22,17 @@
 _MIN_USE_SHARE = 0.25
 #: Time constant of the mean headroom of a latency-critical image, in seconds.
 _HEADROOM_SECONDS = 1.0
-#: Seconds without progress after which a run counts as stalled.
-_STALL_SECONDS = 2.0
-#: Progress in percent that a long-running task reports while it is at work.
-_SERVING_PERCENT = 100
 
 
-def update_run(task: Task, running: RunningTask, paced: bool, now: float) -> None:
+def update_run(
+    vm: Vm, task: Task, running: RunningTask, paced: bool, now: float
+) -> None:
     """Update a task from a run that its worker lists.
 
     Parameters
     ----------
+    vm : Vm
+        VM of the worker.
     task : Task
         The task of the run.
     running : RunningTask
@@ -43,13 +44,13 @@
         Current time in seconds since the Unix epoch.
     """
     task.seen_at = task.seen_at or now
-    if running.checkpoint:
-        task.checkpoint = running.checkpoint
+    if running.checkpoint != task.listed_checkpoint:
+        task.listed_checkpoint = running.checkpoint
+        store_checkpoint(task, running.checkpoint)
     step = task.step
-    advanced = running.percent != task.percent or not task.progress_at
-    if advanced or (paced and step.fills):
-        task.percent = running.percent
-        task.progress_at = now
+    task.progress.record(running.percent, vm.clock)
+    if paced and step.fills:
+        task.progress.excuse(vm.clock)
     if not step.fills:
         return
     share = running.figure / max(1, step.demand.cpu)
@@ -61,6 +62,18 @@
         task.starved_since = now
 
 
+def store_checkpoint(task: Task, checkpoint: str) -> None:
+    """Store the checkpoint of a run, if it has one; a gang has one for all members.
+
+    The checkpoint of any member is valid for its gang, and all must resume from the
+    same one.
+    """
+    if not checkpoint:
+        return
+    for member in list_step_tasks(task) if task.step.gang else [task]:
+        member.checkpoint = checkpoint
+
+
 def update_best_effort_use(vm: Vm, running: Iterable[RunningTask], now: float) -> None:
     """Update the CPU use of a VM's best-effort tasks that have warmed up."""
     for run in running:
@@ -72,16 +85,6 @@
             vm.best_effort_use_by_task[run.task_id] = max(run.figure, least)
 
 
-def has_stalled(task: Task, now: float) -> bool:
-    """Return whether a run has made no progress for too long.
-
-    A throttled run does not count as stalled, see ``update_run``.
-    """
-    if task.step.long_running and task.percent >= _SERVING_PERCENT:
-        return False
-    return not task.stop_wanted and now - task.progress_at > _STALL_SECONDS
-
-
 def update_headroom(
     vm: Vm, running: Iterable[RunningTask], interference: InterferenceModel, now: float
 ) -> None:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -13,7 +13,11 @@
 import logbook
 
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketCache
-from pollenkeel_jobs.core.crashes import TRIAL_SECONDS, record_crash
+from pollenkeel_jobs.core.crashes import (
+    TRIAL_SECONDS,
+    record_crash,
+    record_sound_run,
+)
 from pollenkeel_jobs.core.fleet import Fleet
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
@@ -42,7 +46,7 @@
 from pollenkeel_jobs.core.placement import LeastLoaded
 from pollenkeel_jobs.core.placement_log import WaitLog, log_interference
 from pollenkeel_jobs.core.progress import (
-    has_stalled,
+    store_checkpoint,
     update_best_effort_use,
     update_headroom,
     update_run,
@@ -51,6 +55,7 @@
 from pollenkeel_jobs.core.records import encode_progress
 from pollenkeel_jobs.core.report_log import log_late_report, log_odd_lists
 from pollenkeel_jobs.core.speed import VmSpeeds
+from pollenkeel_jobs.core.stalls import StallDetector
 from pollenkeel_jobs.core.stops import StopOrderQueue
 from pollenkeel_jobs.core.tables import RowWrite
 from pollenkeel_jobs.core.vms import Vm, make_profile
@@ -105,6 +110,7 @@
         self._queue = ReadyQueue(self._jobs, self._tickets, self._placement)
         self._migration = Migration(self._placement)
         self._speeds = VmSpeeds()
+        self._stalls = StallDetector(self._speeds, self._fleet.quarantine)
         self._wait_log = WaitLog()
         self._next_migration_at = 0.0
         self._next_weights_write_at = 0.0
@@ -315,11 +321,13 @@
                 self._stop(vm, running.task_id, running.run, now)
                 continue
             self._jobs.mark_started(task.job)
-            update_run(task, running, report.paced, now)
+            update_run(vm, task, running, report.paced, now)
+            self._stalls.judge(vm, task, now)
+            record_sound_run(self._jobs, vm, task)
             if vm.trial is task and now - task.seen_at >= TRIAL_SECONDS:
                 vm.trial = None
-            if has_stalled(task, now):
-                self._stop_stalled(vm, task, now)
+            if self._stalls.has_stalled(vm, task):
+                self._stalls.suspect(vm, task, now)
             if (
                 task.state is not TaskState.PLACED
                 or task.stop_wanted
@@ -367,20 +375,6 @@
             elif task.sent and now - task.placed_at > _UNLISTED_RUN_SECONDS:
                 self._stop(vm, task.task_id, task.run, now)
 
-    def _stop_stalled(self, vm: Vm, task: Task, now: float) -> None:
-        log_change(
-            logger,
-            "run stalled",
-            task=task.task_id,
-            run=task.run,
-            vm=vm.name,
-            percent=task.percent,
-            since=round(now - task.progress_at, 2),
-        )
-        task.stop_wanted = True
-        task.failed_on.add(vm.incarnation)
-        self._fleet.quarantine.record(vm.incarnation, task.job.spec.job_id, True, now)
-
     def _stop(self, vm: Vm, task_id: str, run: int, now: float) -> None:
         """Order a run to be stopped, or to be revoked if it has not started."""
         if self._stops.add(vm, task_id, run, now):
@@ -413,7 +407,7 @@
         RUNS_ENDED.labels(ended.how).inc()
         vm.remove(task)
         self._jobs.mark_started(task.job)
-        self._store_checkpoint(task, ended.checkpoint)
+        store_checkpoint(task, ended.checkpoint)
         if ended.how in ("done", "failed") and not task.step.long_running:
             self._record_vm_result(vm, task, ended.how == "failed", now)
         if task.job.status.final or task.state is TaskState.DONE:
@@ -432,16 +426,7 @@
         self._fleet.quarantine.record(vm.incarnation, task.job.spec.job_id, failed, now)
         if not failed:
             self._speeds.observe(vm, task, now)
-
-    @staticmethod
-    def _store_checkpoint(task: Task, checkpoint: str) -> None:
-        """Store the checkpoint of a run; a gang has one for all its members."""
-        if not checkpoint:
-            return
-        task.checkpoint = checkpoint
-        if task.step.gang:
-            for member in list_step_tasks(task):
-                member.checkpoint = checkpoint
+            self._stalls.judge_done(vm, task, now)
 
     def _record_failure(self, task: Task, vm: Vm) -> bool:
         """Count a failed run; return whether the attempts are used up.
@@ -540,7 +525,7 @@
                 profile = make_profile(task)
                 orders.append(
                     StartOrder(
-                        task.task_id, task.run, profile, task.checkpoint, task.ticket
+                        task.task_id, task.run, profile, start.checkpoint, task.ticket
                     )
                 )
                 payloads_by_job[task.job.spec.job_id] = task.job.spec.payload
@@ -657,7 +642,7 @@
         task.ticket = self._tickets.find(task, vm)
         self._fleet.quarantine.started(vm.incarnation, now)
         self._jobs.dirty[task.job] = None
-        self._unsent_starts.append(PlannedStart(task, placed.run))
+        self._unsent_starts.append(PlannedStart(task, placed.run, placed.checkpoint))
         RUNS_PLACED.inc()
         WAIT_SECONDS.observe(now - task.ready_at)
         log_change(
