Let tests of crashes wait for the revocation at the restarted worker

A worker that is back under its id is asked to revoke the run first, which takes a second step since; what the tests check afterwards is unchanged.

--- a/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
@@ -170,7 +170,13 @@
     )
     run = next(run.run for run in holder.running if run.task_id == task_id)
     holder.crash(RunKey(task_id, run))
-    site.step()
+    replace_lost_runs(site)
+
+
+def replace_lost_runs(site):
+    """Revoke the runs that restarted workers don't list, then place their tasks."""
+    for _ in range(2):
+        site.step()
 
 
 def run_soundly(site, seconds=3.0):
@@ -215,7 +221,7 @@
         run_soundly(site)
         for vm in site.vms:
             vm.crash()
-        site.step()
+        replace_lost_runs(site)
         crash_under(site, "j1.0.0.0")
         assert site.scheduler.find_status("j1") is JobStatus.RUNNING
     crash_under(site, "j1.0.0.0")
@@ -248,7 +254,7 @@
     holder = next(vm for vm in site.vms if vm.running)
     holder.crash()
     before = f"{holder.name}/w~1"
-    site.step()
+    replace_lost_runs(site)
     crash_under(site, "j1.0.0.0")
     holder.crashes.append(WorkerCrash(before, [RunKey("j1.0.0.0", 1)]))
     site.step()
