Send orders with the deadline and the worker that the leader counts with

Cause: the thread that sends orders read the lease and the incarnation of the VM again, without the lock, after the scheduler had stored the deadline with the task. A report in between made the order valid for longer than the leader believes: it may place the task anew while a delayed order is still accepted. An incarnation in between got orders that were meant for the one before.

Change: the scheduler returns the deadline and the incarnation with the orders.

Evidence: a test holds orders back while reports come in; the old code had no such values to compare (the sender read them later).

--- a/benchmarks/leader_reports.py
+++ b/benchmarks/leader_reports.py
@@ -61,7 +61,7 @@
         planned = self._scheduler.plan()
         self._scheduler.confirm(planned)
         for batch in planned.order_batches:
-            orders, _ = self._scheduler.make_starts(batch.vm, batch.starts)
+            orders = self._scheduler.make_starts(batch.vm, batch.starts).orders
             runs = [RunningTask(order.task_id, order.run) for order in orders]
             self._running_by_vm[batch.vm.name] += runs
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -144,17 +144,17 @@
             # Nothing was sent, so the tasks can be placed again immediately.
             term.scheduler.drop_orders(self._vm, work.starts)
             return
-        starts, payloads_by_job = term.scheduler.make_starts(self._vm, work.starts)
+        starts = term.scheduler.make_starts(self._vm, work.starts)
         orders = VmOrders(
             term.name,
             term.clock.now(),
             term.scheduler.epoch,
             term.address,
-            self._vm.incarnation,
-            self._vm.lease_until,
-            starts,
+            starts.worker,
+            starts.deadline,
+            starts.orders,
             work.stops,
-            payloads_by_job,
+            starts.payloads_by_job,
             term.scheduler.find_interfering_pairs(self._vm),
         )
         now = term.clock.now()
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/passes.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/passes.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from pollenkeel_jobs.core.messages import StopOrder
+from pollenkeel_jobs.core.messages import StartOrder, StopOrder
 from pollenkeel_jobs.core.model import Job, JobStatus, Task
 from pollenkeel_jobs.core.tables import RowWrite
 from pollenkeel_jobs.core.vms import Vm
@@ -28,6 +28,28 @@
     checkpoint: str
 
 
+@attrs.frozen
+class PreparedStarts:
+    """Start orders as they are to be sent.
+
+    Attributes
+    ----------
+    worker : str
+        Incarnation of the worker that the orders are for.
+    deadline : float
+        Time on the worker's clock, in milliseconds, after which it rejects them.
+    orders : list of StartOrder
+        Orders that still apply.
+    payloads_by_job : dict of str to str
+        Payload of each job that the orders belong to.
+    """
+
+    worker: str
+    deadline: float
+    orders: list[StartOrder] = attrs.field(factory=list)
+    payloads_by_job: dict[str, str] = attrs.field(factory=dict)
+
+
 @attrs.define
 class OrderBatch:
     """Orders for one VM that result from a pass."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -42,7 +42,13 @@
 )
 from pollenkeel_jobs.core.names import HARM, HARM_KEY, PROGRESS
 from pollenkeel_jobs.core.operations import Operations
-from pollenkeel_jobs.core.passes import OrderBatch, Pass, PlannedStart, RecordedEnds
+from pollenkeel_jobs.core.passes import (
+    OrderBatch,
+    Pass,
+    PlannedStart,
+    PreparedStarts,
+    RecordedEnds,
+)
 from pollenkeel_jobs.core.placement import LeastLoaded
 from pollenkeel_jobs.core.placement_log import WaitLog, log_interference
 from pollenkeel_jobs.core.progress import (
@@ -501,35 +507,25 @@
                 if placed and task.run == start.run and not task.sent:
                     self._requeue(task, "order not sent")
 
-    def make_starts(
-        self, vm: Vm, starts: Iterable[PlannedStart]
-    ) -> tuple[list[StartOrder], dict[str, str]]:
-        """Return the start orders that still apply, and mark them as sent.
-
-        Returns
-        -------
-        list of StartOrder
-            Orders for the VM's agent.
-        dict of str to str
-            Payload of each job that the orders belong to.
-        """
+    def make_starts(self, vm: Vm, starts: Iterable[PlannedStart]) -> PreparedStarts:
+        """Return the start orders that still apply, and mark them as sent."""
         with self._lock:
-            orders = []
-            payloads_by_job = {}
+            prepared = PreparedStarts(vm.incarnation, vm.lease_until)
             for start in starts:
                 task = start.task
                 if not self._is_start_valid(vm, start):
                     continue
                 task.sent = True
-                task.order_deadline = vm.lease_until
+                task.order_deadline = prepared.deadline
                 profile = make_profile(task)
-                orders.append(
+                prepared.orders.append(
                     StartOrder(
                         task.task_id, task.run, profile, start.checkpoint, task.ticket
                     )
                 )
-                payloads_by_job[task.job.spec.job_id] = task.job.spec.payload
-            return orders, payloads_by_job
+                spec = task.job.spec
+                prepared.payloads_by_job[spec.job_id] = spec.payload
+            return prepared
 
     def _is_start_valid(self, vm: Vm, start: PlannedStart) -> bool:
         """Return whether a planned start still applies and may be sent now.
--- a/packages/pollenkeel-jobs/tests/core/test_incarnations.py
+++ b/packages/pollenkeel-jobs/tests/core/test_incarnations.py
@@ -69,3 +69,22 @@
         site.step()
     assert [double for double in site.vms if double.running] == [holder]
     assert holder.running[0].run == 2
+
+
+def test_orders_carry_the_deadline_that_the_leader_counts_with(clock):
+    """Guards against a start that a worker accepts after its task was placed anew."""
+    site = Site(clock)
+    site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 1000), 1.0),)))
+    vm = site.vms[0]
+    vm.report()
+    planned = site.scheduler.plan()
+    site.scheduler.confirm(planned)
+    batch = planned.order_batches[0]
+    starts = site.scheduler.make_starts(vm.vm, batch.starts)
+    clock.advance(0.4)
+    worker = vm.incarnation
+    vm.report()
+    vm.incarnation = "vm-0/w2~5"
+    vm.report()
+    assert starts.deadline == batch.starts[0].task.order_deadline
+    assert starts.worker == worker
