Ignore lists of a worker that later ones have overtaken

Cause: an agent reports from two threads, and the leader applied each report as the newest. An older one took the worker's lease back below what was granted, and a VM that drains got starts again until the next report.

Change: the leader ignores a report whose lists are older, by the worker's clock, than those that it has processed of this incarnation, and logs it.

Evidence: with the check switched off the new test fails: the lease is 0.3 s shorter than the one that was granted, and the VM doesn't drain.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/report_log.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/report_log.py
@@ -13,23 +13,26 @@
 MAX_LISTED_ENDS = 500
 
 
-def log_odd_lists(vm: Vm, report: VmReport) -> None:
-    """Log that lists are cut, or older than those that were processed before."""
+def log_cut_lists(vm: Vm, report: VmReport) -> None:
+    """Log that a worker may have more ended runs than it lists."""
     if len(report.ended) >= MAX_LISTED_ENDS:
         logger.warning(
             "list of ended runs is cut",
             extra={"vm": vm.name, "worker": report.worker, "ends": len(report.ended)},
         )
-    if report.clock < vm.clock:
-        logger.warning(
-            "older lists received after newer ones",
-            extra={
-                "vm": vm.name,
-                "worker": report.worker,
-                "clock": report.clock,
-                "known_clock": vm.clock,
-            },
-        )
+
+
+def log_overtaken_lists(vm: Vm, report: VmReport) -> None:
+    """Log that lists are older than those that were processed before."""
+    logger.warning(
+        "older lists received after newer ones",
+        extra={
+            "vm": vm.name,
+            "worker": report.worker,
+            "clock": report.clock,
+            "known_clock": vm.clock,
+        },
+    )
 
 
 def log_late_report(vm: Vm, report: VmReport) -> None:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -59,7 +59,11 @@
 )
 from pollenkeel_jobs.core.ready_queue import Placed, ReadyQueue
 from pollenkeel_jobs.core.records import encode_progress
-from pollenkeel_jobs.core.report_log import log_late_report, log_odd_lists
+from pollenkeel_jobs.core.report_log import (
+    log_cut_lists,
+    log_late_report,
+    log_overtaken_lists,
+)
 from pollenkeel_jobs.core.speed import VmSpeeds
 from pollenkeel_jobs.core.stalls import StallDetector
 from pollenkeel_jobs.core.stops import StopOrderQueue
@@ -249,6 +253,8 @@
                 return VmReportReply("", now, self.epoch)
             if vm.is_replaced(report.worker, now):
                 log_late_report(vm, report)
+            elif vm.has_newer_lists(report.worker, report.clock):
+                log_overtaken_lists(vm, report)
             elif report.epoch == self.epoch and report.worker:
                 self._apply_report(vm, report, now)
                 if report.clock and may_grant_lease:
@@ -314,7 +320,7 @@
         Processes ended runs, stops runs that should not run here, and requeues lost
         ones.
         """
-        log_odd_lists(vm, report)
+        log_cut_lists(vm, report)
         vm.clock = report.clock
         vm.fenced = report.fenced_epoch == self.epoch
         listed = {(run.task_id, run.run) for run in report.running}
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -159,6 +159,13 @@
                 del self.replaced_until_by_incarnation[name]
         return incarnation in self.replaced_until_by_incarnation
 
+    def has_newer_lists(self, incarnation: str, clock: float) -> bool:
+        """Return whether later lists than those of this time have been processed.
+
+        Reports of one worker come from several threads and may overtake each other.
+        """
+        return bool(clock) and incarnation == self.incarnation and clock < self.clock
+
     def has_room_for(self, demand: Demand) -> bool:
         """Return whether a demand fits beside placed tasks and other runs."""
         capacity, reserved, other = (
--- a/packages/pollenkeel-jobs/tests/core/test_incarnations.py
+++ b/packages/pollenkeel-jobs/tests/core/test_incarnations.py
@@ -88,3 +88,19 @@
     vm.report()
     assert starts.deadline == batch.starts[0].task.order_deadline
     assert starts.worker == worker
+
+
+def test_lists_that_were_overtaken_are_ignored(clock):
+    """Guards against a lease that goes back, and starts on a VM that drains."""
+    site = Site(clock)
+    vm = site.vms[0]
+    vm.report()
+    clock.advance(0.4)
+    vm.draining = True
+    vm.report()
+    lease, now = vm.vm.lease_until, clock.now()
+    clock.advance(-0.3)
+    vm.draining = False
+    vm.report()
+    clock.advance(now - clock.now())
+    assert (vm.vm.lease_until, vm.vm.draining) == (lease, True)
