Take ended runs beyond a cut list for unknown, not for lost

Cause: a worker lists 500 ended runs at a time and goes on with the rest once these are acknowledged, which they can't be while the store is down.

Class of fault: a list that isn't whole is read as whole.

Change: while a list of ended runs has 500 rows, no run is given up for not being listed. The end of the worker's lease still gives runs up.

Evidence: with the check switched off the new test fails: tasks beyond the first 500 run again before the rest of the ends is listed.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/report_log.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/report_log.py
@@ -13,9 +13,14 @@
 MAX_LISTED_ENDS = 500
 
 
+def is_cut(report: VmReport) -> bool:
+    """Return whether a worker may have more ended runs than it lists."""
+    return len(report.ended) >= MAX_LISTED_ENDS
+
+
 def log_cut_lists(vm: Vm, report: VmReport) -> None:
-    """Log that a worker may have more ended runs than it lists."""
-    if len(report.ended) >= MAX_LISTED_ENDS:
+    """Log lists that are cut."""
+    if is_cut(report):
         logger.warning(
             "list of ended runs is cut",
             extra={"vm": vm.name, "worker": report.worker, "ends": len(report.ended)},
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -60,6 +60,7 @@
 from pollenkeel_jobs.core.ready_queue import Placed, ReadyQueue
 from pollenkeel_jobs.core.records import encode_progress
 from pollenkeel_jobs.core.report_log import (
+    is_cut,
     log_cut_lists,
     log_late_report,
     log_overtaken_lists,
@@ -318,7 +319,8 @@
         """Update tasks from the runs that the worker lists.
 
         Processes ended runs, stops runs that should not run here, and requeues lost
-        ones.
+        ones. What lists that are cut don't name is unknown, not lost: the rest of the
+        ended runs is listed once those before are acknowledged.
         """
         log_cut_lists(vm, report)
         vm.clock = report.clock
@@ -353,7 +355,7 @@
                 self._process_end(vm, ended, now)
         if vm.ended_through > vm.recorded_through:
             self.wake.set()
-        if vm.fenced:
+        if vm.fenced and not is_cut(report):
             withdrawn = {(stop.task_id, stop.run) for stop in report.withdrawn}
             self._requeue_lost_runs(vm, listed, withdrawn, now)
 
--- a/packages/pollenkeel-jobs/tests/core/test_incarnations.py
+++ b/packages/pollenkeel-jobs/tests/core/test_incarnations.py
@@ -5,6 +5,7 @@
 
 from pollenkeel_jobs.core.messages import RunningTask
 from pollenkeel_jobs.core.model import Demand, StepSpec
+from pollenkeel_jobs.core.report_log import MAX_LISTED_ENDS
 
 TASK = "j1.0.0.0"
 
@@ -104,3 +105,25 @@
     vm.report()
     clock.advance(now - clock.now())
     assert (vm.vm.lease_until, vm.vm.draining) == (lease, True)
+
+
+def test_ends_beyond_a_cut_list_are_not_lost(clock):
+    """Guards against runs that are started again since a list has no room for them."""
+    site = Site(clock, cpu=10**6, memory=10**6)
+    count = MAX_LISTED_ENDS + 20
+    site.scheduler.add_job(make_job(steps=(StepSpec(count, Demand(1000, 1000), 1.0),)))
+    site.step()
+    vm = site.vms[0]
+    for run in list(vm.running):
+        vm.end(run.task_id)
+    ends = vm.ended
+    vm.ended = ends[:MAX_LISTED_ENDS]
+    clock.advance(4.0)
+    site.step()
+    clock.advance(1.5)
+    site.step()
+    assert not vm.running
+    vm.ended = ends[MAX_LISTED_ENDS:]
+    site.step()
+    assert not vm.running
+    assert site.scheduler.find_status("j1").value == "done"
