Take an answer without its lists of runs for malformed

Cause: a missing or null 'Running' or 'Ended' counted as an empty list, so that all runs of the VM were given up.

--- a/tests/contracts/test_platform_odd_entries.py
+++ b/tests/contracts/test_platform_odd_entries.py
@@ -127,11 +127,21 @@
         {"Running": [["j.0.0.0", "x", "", 50]]},
         {"Ended": [[float("inf"), "j.0.0.1", 1, "done", ""]]},
         {"ClockMs": 10**400},
+        {"Running": None},
+        {"Ended": {}},
     ],
-    ids=["run", "text", "number of an end", "clock"],
+    ids=["run", "text", "number of an end", "clock", "no runs", "no ends"],
 )
 def test_lists_with_an_odd_run_are_no_lists(change):
     """A run that is left out of the lists would be started a second time."""
     body = {"ClockMs": 5, "Running": [], "Ended": []}
     assert _decode_lists(Reply(200, body)).is_ok()
     assert _decode_lists(Reply(200, {**body, **change})).is_err()
+
+
+@pytest.mark.parametrize("name", ["Running", "Ended"])
+def test_missing_list_is_not_an_empty_one(name):
+    """Guards against runs that are given up since an answer doesn't list any."""
+    body = {"ClockMs": 5, "Running": [], "Ended": []}
+    del body[name]
+    assert _decode_lists(Reply(200, body)).is_err()
