--- a/standins/pollenkeel_standins/job_site.py
+++ b/standins/pollenkeel_standins/job_site.py
@@ -14,6 +14,7 @@
 import urllib3
 import yaml
 
+from pollenkeel_standins.other_writer import OtherWriter
 from pollenkeel_standins.ports import PortReservations
 from pollenkeel_standins.processes import ManagedProcess, wait_until
 
@@ -65,6 +66,7 @@
         self._ports = PortReservations()
         self._runner_commands: list[list[str]] = []
         self._runner_urls: list[str] = []
+        self._register_urls: list[str] = []
         # Runs of earlier incarnations of each runner.
         self._crashed_runs: list[list[dict[str, Any]]] = [[] for _ in range(vms)]
 
@@ -84,7 +86,8 @@
             port = self._ports.reserve()
             to_runner = f"127.0.0.1:{port}"
             options = ["--id", f"i-{number}", "--agent", f"http://{to_agent}"]
-            options += ["--port", f"{port}", "--zone", "z1"]
+            options += ["--port", f"{port}", "--zone", self.find_zone(number)]
+            options += ["--labels", self.find_labels(number)]
             self._runner_commands.append(options)
             self._runner_urls.append(f"http://{to_runner}")
             self._start_standin(
@@ -95,7 +98,9 @@
                     f"agent-{number}", f"runner-{number}", to_runner
                 ),
                 "register_address": register,
+                "zone": self.find_zone(number),
             }
+            self._register_urls.append(f"http://{register}")
             self._start_process(f"agent-{number}", "job-agent", store, settings)
         return self
 
@@ -124,6 +129,14 @@
         """Return additional command-line options of a runner."""
         return []
 
+    def find_zone(self, number: int) -> str:
+        """Return the zone of a VM."""
+        return "z1"
+
+    def find_labels(self, number: int) -> str:
+        """Return the labels of a VM, separated by commas."""
+        return "a,r1"
+
     def restart(self, name: str) -> None:
         """Restart a process that has ended."""
         self._launch(name)
@@ -147,6 +160,19 @@
             f"runner-{number}", "runner", *self._runner_commands[number], *options
         )
 
+    def send_foreign_heartbeats(self, number: int, name: str) -> None:
+        """Send one kind of heartbeat of another writer for a runner.
+
+        They differ from the latest heartbeat of the runner. Nothing is sent if the
+        runner does not answer or has not sent one yet.
+        """
+        try:
+            own = self._read_raw_record(number, _RECORD_TIMEOUT_SECONDS)["heartbeat"]
+        except urllib3.exceptions.HTTPError:
+            return
+        if own:
+            OtherWriter(self._register_urls[number]).send(name, f"i-{number}", own)
+
     def write_config(self, version: int) -> None:
         """Write an operator configuration of this version with one route to a queue."""
         route = {
@@ -160,11 +186,19 @@
         }
         self.write_operator("config", {"Version": version, "Routes": [route]})
 
-    def write_operator(self, key: str, value: dict[str, Any] | None) -> None:
-        """Write a row as an operator does; None deletes it."""
+    def write_operator(self, key: str, value: dict[str, Any] | None) -> bool:
+        """Write a row as an operator does; None deletes it.
+
+        Returns whether the store has acknowledged it.
+        """
         text = None if value is None else json.dumps(value)
         url = f"{self.processes_by_name['store'].url}/operator"
-        self._pool.request("POST", url, json={"key": key, "value": text}, timeout=5.0)
+        fields = {"key": key, "value": text}
+        try:
+            reply = self._pool.request("POST", url, json=fields, timeout=5.0)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return reply.status == 200
 
     def set_store_faults(self, **faults: Any) -> None:
         """Set the fault switches of the metadata store."""
@@ -256,10 +290,9 @@
         return runs
 
     def _read_record(self, number: int, timeout: float = 5.0) -> list[dict[str, Any]]:
-        url = f"{self._runner_urls[number]}/record"
         # A run in progress is only known to have run until now.
         open_end = {"end": time.time(), "how": "running", "noted": False}
-        record = self._pool.request("GET", url, timeout=timeout).json()
+        record = self._read_raw_record(number, timeout)
         # A runner that is being killed may still answer, and its runs appear twice.
         runs = {
             (run["task"], run["run"], run["start"]): {**open_end, **run}
@@ -267,6 +300,11 @@
         }
         return [{**run, "runner": number} for run in runs.values()]
 
+    def _read_raw_record(self, number: int, timeout: float) -> dict[str, Any]:
+        url = f"{self._runner_urls[number]}/record"
+        record: dict[str, Any] = self._pool.request("GET", url, timeout=timeout).json()
+        return record
+
     def _make_address(self) -> str:
         return f"127.0.0.1:{_find_port()}"
 
--- a/standins/pollenkeel_standins/main.py
+++ b/standins/pollenkeel_standins/main.py
@@ -63,6 +63,7 @@
 @click.option("--id", "runner_id", required=True)
 @click.option("--agent", required=True, help="URL of the agent to register with")
 @click.option("--zone", required=True)
+@click.option("--labels", default="a,r1", help="separated by commas")
 @click.option("--first-heartbeat", default=0.3, help="seconds after the start")
 @click.option("--clock-offset", default=0.0, help="seconds")
 @click.option("--clock-rate", default=1.0, help="seconds per second")
--- a/standins/pollenkeel_standins/runner.py
+++ b/standins/pollenkeel_standins/runner.py
@@ -66,13 +66,14 @@
     ``agent`` is the URL at which it registers; ``heartbeat`` (interval),
     ``first_heartbeat`` (time from the start to the first one) and ``clock_offset`` are
     in seconds; ``clock_rate`` is in seconds per second, ``cpu`` in thousandths of a
-    core, ``memory`` in megabytes.
+    core, ``memory`` in megabytes. ``labels`` are separated by commas.
     """
 
     id: str
     agent: str
     zone: str
     service: str = "desk"
+    labels: str = "a,r1"
     cpu: int = 4000
     memory: int = 8000
     heartbeat: float = 0.3
@@ -90,6 +91,7 @@
         self._clock = SkewedClock(options.clock_offset, options.clock_rate)
         self._model = RunnerModel(self._clock)
         self._incarnation = time.time_ns() // 1_000_000
+        self._heartbeat: dict[str, Any] = {}
         self._stop = threading.Event()
 
     def start(self, port: int, threads: int) -> str:
@@ -104,7 +106,10 @@
         super().shut_down()
 
     def record(self) -> dict[str, Any]:
-        """Return what actually ran; runs in progress have no end."""
+        """Return what actually ran, and the latest heartbeat.
+
+        Runs in progress have no end.
+        """
         with self._model.lock:
             self._model.end_due_runs()
             running = [
@@ -112,7 +117,10 @@
                 for run in self._model.runs_by_task.values()
             ]
             runs = [*self._model.record, *running]
-        return {"runs": [self._to_system_time(run) for run in runs]}
+        return {
+            "runs": [self._to_system_time(run) for run in runs],
+            "heartbeat": self._heartbeat,
+        }
 
     def _to_system_time(self, run: dict[str, Any]) -> dict[str, Any]:
         """Return a run of the record with its times converted to the system clock."""
@@ -167,28 +175,33 @@
         options = self._options
         pool = urllib3.PoolManager(retries=False, timeout=1.0)
         path = f"{options.agent}/api/instances/{options.id}/heartbeat"
+        headers = {"Content-Type": "application/json"}
         sequence = 0
         delay = options.first_heartbeat
         while not self._stop.wait(delay):
             delay = options.heartbeat
             sequence += 1
-            body = {
-                "Backend": options.service,
-                "Address": url.partition("//")[2],
-                "Zone": options.zone,
-                "Version": "v1",
-                "Slots": _SLOTS,
-                "State": "ready",
-                "ColdRemainingMs": 0,
-                "Capacity": {"Cpu": options.cpu, "MemMb": options.memory, "Gpu": 0},
-                "Labels": ["a", "r1"],
-                "ClockMs": self._model.now_ms(),
-                "Seq": sequence,
-                "born": self._incarnation,
-            }
-            headers = {"Content-Type": "application/json"}
+            self._heartbeat = self._make_heartbeat(url, sequence)
+            body = json.dumps(self._heartbeat)
             try:
-                pool.request("POST", path, body=json.dumps(body), headers=headers)
+                pool.request("POST", path, body=body, headers=headers)
             except urllib3.exceptions.HTTPError:
                 # The agent may not be running yet; the next heartbeat follows soon.
                 continue
+
+    def _make_heartbeat(self, url: str, sequence: int) -> dict[str, Any]:
+        options = self._options
+        return {
+            "Backend": options.service,
+            "Address": url.partition("//")[2],
+            "Zone": options.zone,
+            "Version": "v1",
+            "Slots": _SLOTS,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Capacity": {"Cpu": options.cpu, "MemMb": options.memory, "Gpu": 0},
+            "Labels": options.labels.split(","),
+            "ClockMs": self._model.now_ms(),
+            "Seq": sequence,
+            "born": self._incarnation,
+        }
--- a/standins/pollenkeel_standins/runner_model.py
+++ b/standins/pollenkeel_standins/runner_model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from typing import Any
 
 import attrs
@@ -14,6 +15,8 @@
 #: Largest number of ends in one list; the others follow once these are acknowledged.
 MAX_LISTED_ENDS = 500
 _CHECKPOINT_SECONDS = 1.0
+#: Duration of a run without a command, and of one that starts after its end.
+_WORK_SECONDS = 0.1
 
 
 @attrs.define
@@ -34,9 +37,10 @@
 class RunnerModel:
     """State of one incarnation of a runner.
 
-    The command of a task (``Spec``) is ``run SECONDS`` or ``fail SECONDS``. All runs
-    end when the runner's lease lapses. Orders whose fencing token is lower than one
-    seen before are rejected.
+    The command of a task (``Spec``) is ``run SECONDS``, ``fail SECONDS`` or ``until
+    TIME``, a point in time of the system clock at which all its runs end. All runs end
+    when the runner's lease lapses. Orders whose fencing token is lower than one seen
+    before are rejected.
 
     Attributes
     ----------
@@ -91,15 +95,13 @@
             if body["DeadlineMs"] <= self.now_ms():
                 return "late"
             self._extend_lease(body["DeadlineMs"])
-            verb, _, seconds = str(body.get("Spec", "")).partition(" ")
+            verb, _, text = str(body.get("Spec", "")).partition(" ")
+            seconds = float(text or _WORK_SECONDS)
+            if verb == "until":
+                seconds = max(_WORK_SECONDS, seconds - time.time())
             now = self.clock.now()
-            self.runs_by_task[task] = ModelRun(
-                task,
-                number,
-                now,
-                now + float(seconds or 0.1),
-                "failed" if verb == "fail" else "done",
-            )
+            how = "failed" if verb == "fail" else "done"
+            self.runs_by_task[task] = ModelRun(task, number, now, now + seconds, how)
             return ""
 
     def stop(self, body: dict[str, Any]) -> str:
--- a/standins/tests/test_runner.py
+++ b/standins/tests/test_runner.py
@@ -131,3 +131,16 @@
         "Labels": ["a", "r1"],
         "Seq": 1,
     }
+
+
+def test_tasks_with_a_common_end_finish_together():
+    """Guards against a load of many ends that are spread over a longer time."""
+    clock = ManualClock(time.time())
+    model = RunnerModel(clock)
+    for task in ("t", "u"):
+        command = {"Spec": f"until {time.time() + 3.0}"}
+        assert model.start({**make_start(model, task), **command}) == ""
+    clock.advance(2.8)
+    assert len(model.list_runs()["Running"]) == 2
+    clock.advance(0.3)
+    assert [end[3] for end in model.list_runs()["Ended"]] == ["done", "done"]
