--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/advice.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/advice.py
@@ -20,6 +20,9 @@
 _MAX_WORKERS_PER_CALL = 30
 #: Part of a ticket's validity that is reserved for delivery of the order, in seconds.
 _DELIVERY_RESERVE_SECONDS = 0.5
+#: Maximum number of requests that wait for the advice service, which handles one at a
+#: time. The most urgent steps of a pass fill the places that are free.
+_MAX_PENDING_QUESTIONS = 12
 #: Minimum time between two requests for the same step, in seconds.
 _REPEAT_INTERVAL = 1.0
 
@@ -87,9 +90,24 @@
             return ""
         return step.tickets_by_worker.get(_get_worker_id(vm), "")
 
+    def has_tickets(self, task: Task) -> bool:
+        """Return whether a task's step has a valid ticket for any VM."""
+        step = self._tickets_by_step.get(_get_step_id(task))
+        return (
+            step is not None
+            and bool(step.tickets_by_worker)
+            and self._clock.now() <= step.valid_until
+        )
+
     def request_tickets(self, task: Task, vms: Iterable[Vm]) -> None:
-        """Queue a request for tickets of a task's step, least loaded VMs first."""
+        """Queue a request for tickets of a task's step, least loaded VMs first.
+
+        Does nothing if too many requests wait already; a later pass asks again.
+        """
         step_id = _get_step_id(task)
+        pending = self._pending_questions_by_step
+        if step_id not in pending and len(pending) >= _MAX_PENDING_QUESTIONS:
+            return
         step = self._tickets_by_step.setdefault(step_id, _StepTickets())
         if self._clock.now() - step.asked_at < _REPEAT_INTERVAL:
             return
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
@@ -16,6 +16,7 @@
     parse_task_id,
 )
 from pollenkeel_jobs.core.records import RecordError, apply_progress, decode_job
+from pollenkeel_jobs.core.waiting import WaitingTasks
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.logs import log_change
 
@@ -37,7 +38,7 @@
 
     Attributes
     ----------
-    ready : dict of Task to None
+    ready : WaitingTasks
         Tasks that wait for a VM, in the order in which they became ready.
     dirty : dict of Job to None
         Jobs whose progress has changed since it was last written.
@@ -49,7 +50,7 @@
         self._ended_at_by_id: dict[str, float] = {}
         self._scheduled_jobs: dict[Job, None] = {}
         self._cancelled_at_by_id: dict[str, float] = {}
-        self.ready: dict[Task, None] = {}
+        self.ready = WaitingTasks()
         self.dirty: dict[Job, None] = {}
 
     def load(self, rows: Iterable[tuple[bytes, bytes | None]]) -> Iterator[Task]:
@@ -157,7 +158,7 @@
             for member in members:
                 if member not in self.ready:
                     member.ready_at = self._clock.now()
-                    self.ready[member] = None
+                    self.ready.add(member)
 
     def mark_started(self, job: Job) -> None:
         """Record that a task of the job has started."""
@@ -184,7 +185,7 @@
         job = task.job
         for member in list_step_tasks(task) if task.step.gang else [task]:
             member.state = TaskState.DONE
-            self.ready.pop(member, None)
+            self.ready.discard(member)
         self.dirty[job] = None
         if job.is_done():
             self.finish(job, JobStatus.DONE)
@@ -199,7 +200,7 @@
         self._scheduled_jobs.pop(job, None)
         self._ended_at_by_id[job.spec.job_id] = self._clock.now()
         for task in job.tasks():
-            self.ready.pop(task, None)
+            self.ready.discard(task)
 
     def _report_job_end(self, job: Job, status: JobStatus) -> None:
         queue = job.spec.queue.name
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -43,6 +43,8 @@
 #: Load added if the task failed or stalled on the VM's current worker, or may have
 #: crashed a worker of the VM.
 _FAILED_BEFORE_PENALTY = 5.0
+#: Obstacle that depends on the other tasks of the task's step, not on its demand.
+SPREAD_LIMIT = "spread limit"
 #: Load added if the task's data is on another rack.
 _REMOTE_DATA_PENALTY = 1.0
 
@@ -73,6 +75,13 @@
     def would_interfere_too_much(self, task: Task, vm: Vm) -> bool:
         """Return whether a best-effort task interferes too much with others on a VM."""
 
+    @abstractmethod
+    def has_waited_long(self, task: Task) -> bool:
+        """Return whether a task has waited so long that limits are lifted for it.
+
+        Where such a best-effort task may not run, none of its kind of demand may.
+        """
+
     @abstractmethod
     def group(self, task: Task) -> Hashable:
         """Return what makes a VM's score differ between tasks of one step."""
@@ -107,7 +116,7 @@
     def group(self, task: Task) -> Hashable:
         """Return what makes a VM's score differ between tasks of one step."""
         return (
-            self._has_waited_long(task),
+            self.has_waited_long(task),
             frozenset(task.failed_on),
             frozenset(task.crashed_on),
         )
@@ -155,9 +164,10 @@
         share = self._estimate_headroom_share(task, vm)
         if share <= _MAX_HEADROOM_SHARE:
             return False
-        return not self._has_waited_long(task) or self._has_interfering_tasks(vm)
+        return not self.has_waited_long(task) or self._has_interfering_tasks(vm)
 
-    def _has_waited_long(self, task: Task) -> bool:
+    def has_waited_long(self, task: Task) -> bool:
+        """Return whether a task has waited so long that limits are lifted for it."""
         return self.now - task.ready_at > _MAX_WAIT_SECONDS
 
     def _has_interfering_tasks(self, vm: Vm) -> bool:
@@ -211,5 +221,5 @@
     if step.fills and vm.cpu_load >= _MAX_BEST_EFFORT_LOAD:
         return "load"
     if step.spread_limit and vm.count_step_tasks(task) >= step.spread_limit:
-        return "spread limit"
+        return SPREAD_LIMIT
     return ""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement_log.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement_log.py
@@ -16,21 +16,30 @@
 
 #: Seconds for which a task waits before a line is written.
 _MIN_WAIT_SECONDS = 1.0
-#: Seconds between two lines on the same step.
+#: Seconds between two lines on the same step, and between two groups of lines.
 _REPEAT_INTERVAL = 2.0
+#: Maximum number of lines in a group.
+_MAX_LINES = 12
+#: Seconds after which a step whose next line was due is forgotten. Until then the steps
+#: that wait for their first line come before it.
+_FORGET_SECONDS = 300.0
 
 #: Position of a step: job id, occurrence and index.
 _StepKey = tuple[str, int, int]
 
 
 class WaitLog:
-    """Writes at most one line per step and ``_REPEAT_INTERVAL``.
+    """Writes at most one line per step and ``_REPEAT_INTERVAL``, and few in all.
+
+    If more steps wait than ``_MAX_LINES``, they take turns.
 
     Not thread-safe; the scheduler's lock protects it.
     """
 
     def __init__(self) -> None:
         self._next_line_at_by_step: dict[_StepKey, float] = {}
+        self._next_group_at = 0.0
+        self._lines_left = 0
 
     def record(
         self,
@@ -53,13 +62,14 @@
             Current time in seconds since the Unix epoch.
         """
         self._forget_old_steps(now)
-        for task in waiting:
-            step = (task.job.spec.job_id, task.key.occurrence, task.key.step)
-            if now - task.ready_at < _MIN_WAIT_SECONDS:
-                continue
-            if now < self._next_line_at_by_step.get(step, 0.0):
-                continue
-            self._next_line_at_by_step[step] = now + _REPEAT_INTERVAL
+        if now >= self._next_group_at:
+            self._next_group_at = now + _REPEAT_INTERVAL
+            self._lines_left = _MAX_LINES
+        due = [task for task in waiting if self._is_due(task, now)]
+        due.sort(key=lambda task: self._next_line_at_by_step.get(_get_step(task), 0.0))
+        for task in due[: self._lines_left]:
+            self._lines_left -= 1
+            self._next_line_at_by_step[_get_step(task)] = now + _REPEAT_INTERVAL
             counts = Counter(find_obstacle(task, vm) or "none" for vm in vms)
             log_change(
                 logger,
@@ -70,16 +80,26 @@
                 obstacles=dict(counts),
             )
 
+    def _is_due(self, task: Task, now: float) -> bool:
+        return (
+            now - task.ready_at >= _MIN_WAIT_SECONDS
+            and now >= self._next_line_at_by_step.get(_get_step(task), 0.0)
+        )
+
     def _forget_old_steps(self, now: float) -> None:
         ended = [
             step
             for step, next_line_at in self._next_line_at_by_step.items()
-            if now - next_line_at > _REPEAT_INTERVAL
+            if now - next_line_at > _FORGET_SECONDS
         ]
         for step in ended:
             del self._next_line_at_by_step[step]
 
 
+def _get_step(task: Task) -> _StepKey:
+    return task.job.spec.job_id, task.key.occurrence, task.key.step
+
+
 def log_interference(interference: InterferenceModel, vms: Iterable[Vm]) -> None:
     """Log what limits the placement of best-effort tasks."""
     milli = 1000
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -2,22 +2,26 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import heapq
+from collections.abc import Iterable, Iterator
 
 import attrs
 
 from pollenkeel_jobs.core.advice import TicketCache
 from pollenkeel_jobs.core.candidates import Candidates, make_candidate_key
+from pollenkeel_jobs.core.free_room import FreeRoom
 from pollenkeel_jobs.core.gangs import choose_for_gang
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
-from pollenkeel_jobs.core.model import Job, Task
+from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.placement import Placement
+from pollenkeel_jobs.core.unplaceable import Unplaceable
 from pollenkeel_jobs.core.vms import Vm
+from pollenkeel_jobs.core.waiting import DemandKind, WaitingEntry
 
 #: Share of the VMs that may have a task on trial (``Vm.trial``) at the same time.
 _MAX_TRIAL_SHARE = 0.25
-#: Number of steps without a fitting VM after which a pass over the queue ends.
-_MAX_UNPLACED_STEPS = 12
+#: Number of tasks of each kind of demand for whose steps tickets are requested ahead.
+_MAX_TASKS_AHEAD = 50
 
 
 @attrs.frozen
@@ -42,26 +46,27 @@
         Tickets of the advice service.
     placement : Placement
         Policy that chooses the VMs.
-
-    Attributes
-    ----------
-    unplaced : list of Task
-        One task of each step that found no VM in the latest pass.
     """
 
     def __init__(
         self, jobs: JobTable, tickets: TicketCache, placement: Placement
     ) -> None:
-        self.unplaced: list[Task] = []
+        self._unplaced_by_kind: dict[DemandKind, Task] = {}
         self._jobs = jobs
         self._tickets = tickets
         self._placement = placement
 
+    @property
+    def unplaced(self) -> Iterable[Task]:
+        """One task of each kind of demand that found no VM in the latest pass."""
+        return self._unplaced_by_kind.values()
+
     def place(self, vms: list[Vm], now: float) -> Iterator[Placed]:
         """Yield the placements of one pass; a step that does not fit is skipped.
 
-        The caller must remove each task from ``JobTable.ready`` before it asks for the
-        next placement.
+        Each kind of demand is searched for until a task of it fits on no VM. The caller
+        must remove each task from ``JobTable.ready`` before it asks for the next
+        placement.
 
         Parameters
         ----------
@@ -70,15 +75,15 @@
         now : float
             Current time in seconds since the Unix epoch.
         """
-        self.unplaced = []
         self._placement.now = now
-        unplaced_steps: set[tuple[Job, int, int]] = set()
+        self._unplaced_by_kind = {}
+        if not self._jobs.ready:
+            return
+        unplaceable = Unplaceable(self._placement)
         candidates: Candidates | None = None
-        for task in sorted(self._jobs.ready, key=lambda task: _queue_order(task, now)):
-            step = (task.job, task.key.occurrence, task.key.step)
-            if step in unplaced_steps or task not in self._jobs.ready:
-                continue
+        for kind, task in self._iterate_placeable(unplaceable, vms, now):
             if task.crashed_on and not _may_begin_trial(vms):
+                unplaceable.trials = True
                 continue
             if task.step.gang:
                 candidates = None
@@ -88,11 +93,43 @@
                 placements = _place_task(task, candidates)
             if placements:
                 yield from placements
-                continue
-            unplaced_steps.add(step)
-            self.unplaced.append(task)
-            if len(unplaced_steps) >= _MAX_UNPLACED_STEPS:
-                return
+            else:
+                unplaceable.add(kind, task, vms)
+                self._unplaced_by_kind.setdefault(kind, task)
+
+    def _iterate_placeable(
+        self, unplaceable: Unplaceable, vms: list[Vm], now: float
+    ) -> Iterator[tuple[DemandKind, Task]]:
+        """Yield the waiting tasks that may still fit, the most urgent first."""
+        free_room = FreeRoom(vms)
+
+        def iterate_kind(
+            kind: DemandKind, entries: list[WaitingEntry]
+        ) -> Iterator[tuple[float, str, DemandKind, Task]]:
+            if entries and free_room.rules_out(kind):
+                unplaceable.kinds.add(kind)
+                self._unplaced_by_kind.setdefault(kind, entries[0][-1])
+            for objective_at, task_id, task in entries:
+                if kind in unplaceable.kinds:
+                    break
+                # Placing a gang removes members that are still in ``entries``.
+                if task in self._jobs.ready and not unplaceable.contains(kind, task):
+                    yield objective_at, task_id, kind, task
+            if kind.advised:
+                self._request_tickets_ahead(entries, vms)
+
+        for entries_by_kind in self._jobs.ready.list_by_urgency(now):
+            kinds = (iterate_kind(*item) for item in entries_by_kind.items())
+            for _, _, kind, task in heapq.merge(*kinds):
+                yield kind, task
+
+    def _request_tickets_ahead(
+        self, entries: list[WaitingEntry], vms: list[Vm]
+    ) -> None:
+        """Request tickets that waiting steps lack, before there is room for them."""
+        for _, _, task in entries[:_MAX_TASKS_AHEAD]:
+            if task in self._jobs.ready:
+                self._filter_by_ticket(task, vms)
 
     def _find_candidates(
         self, task: Task, vms: list[Vm], candidates: Candidates | None
@@ -107,7 +144,11 @@
         """Return the VMs for which the task has a ticket, or all if it needs none."""
         if not task.job.spec.queue.advised:
             return vms
-        advised = [vm for vm in vms if self._tickets.find(task, vm)]
+        advised = (
+            [vm for vm in vms if self._tickets.find(task, vm)]
+            if self._tickets.has_tickets(task)
+            else []
+        )
         if vms and not advised:
             self._tickets.request_tickets(task, vms)
         return advised
@@ -132,14 +173,3 @@
     """Place a task on the best candidate, if there is one."""
     vm = candidates.reserve(task)
     return [] if vm is None else [Placed(task, vm, task.run + 1)]
-
-
-def _queue_order(task: Task, now: float) -> tuple[int, bool, float, str]:
-    """Return the sort key of a waiting task; the smallest is placed first.
-
-    Within a priority, jobs that can still meet their objective come first, in the order
-    of their objectives. The others are late whatever is done.
-    """
-    job = task.job
-    late = now > job.objective_at
-    return (job.spec.queue.priority, late, job.objective_at, task.task_id)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -637,7 +637,7 @@
 
     def _record_placement(self, placed: Placed, now: float) -> None:
         task, vm = placed.task, placed.vm
-        del self._jobs.ready[task]
+        self._jobs.ready.discard(task)
         task.reset_run()
         task.state = TaskState.PLACED
         task.run = placed.run
--- /dev/null
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/waiting.py
@@ -0,0 +1,142 @@
+"""Tasks that wait for a VM, sorted by urgency for each kind of demand."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, insort
+from collections.abc import Iterator
+
+import attrs
+
+from pollenkeel_jobs.core.model import Demand, Task
+
+#: A waiting task after its sort key: objective of its job, task id.
+WaitingEntry = tuple[float, str, Task]
+
+
+@attrs.frozen(cache_hash=True)
+class DemandKind:
+    """What a task demands of its VM.
+
+    A VM that has no room for a task has none for any task of the same kind, unless the
+    tickets, the placed tasks of the step or the time for which the task has waited
+    make a difference.
+
+    Attributes
+    ----------
+    service : str
+        Service whose workers run the task.
+    label : str
+        Label that the VM must have; empty for none.
+    reserved : Demand
+        Resources that the task reserves.
+    advised : bool
+        Whether a start needs a ticket for the task's step.
+    best_effort : tuple of (str, int) or None
+        Image and declared CPU of a best-effort task, which limit its interference.
+    gang : tuple of (int, bool, int) or None
+        Size of the task's gang, whether it is faster on one rack, and its spread limit.
+    """
+
+    service: str
+    label: str
+    reserved: Demand
+    advised: bool
+    best_effort: tuple[str, int] | None
+    gang: tuple[int, bool, int] | None
+
+
+def make_demand_kind(task: Task) -> DemandKind:
+    """Return the kind of a task's demand."""
+    step = task.step
+    queue = task.job.spec.queue
+    return DemandKind(
+        queue.service,
+        step.label,
+        step.reserved,
+        queue.advised,
+        (step.image, step.demand.cpu) if step.fills else None,
+        (step.count, step.same_rack, step.spread_limit) if step.gang else None,
+    )
+
+
+class WaitingTasks:
+    """Tasks that wait for a VM; iterated in the order in which they were added.
+
+    Each kind of demand has its tasks in a sorted list, so that no pass has to sort.
+
+    Not thread-safe; the scheduler's lock protects it.
+    """
+
+    def __init__(self) -> None:
+        self._kinds_by_task: dict[Task, DemandKind] = {}
+        self._entries_by_kind: dict[DemandKind, dict[int, list[WaitingEntry]]] = {}
+
+    def __contains__(self, task: Task) -> bool:
+        return task in self._kinds_by_task
+
+    def __iter__(self) -> Iterator[Task]:
+        return iter(self._kinds_by_task)
+
+    def __len__(self) -> int:
+        return len(self._kinds_by_task)
+
+    def add(self, task: Task) -> None:
+        """Add a task; does nothing if it waits already."""
+        if task in self._kinds_by_task:
+            return
+        kind = make_demand_kind(task)
+        self._kinds_by_task[task] = kind
+        entries_by_priority = self._entries_by_kind.setdefault(kind, {})
+        entries = entries_by_priority.setdefault(_get_priority(task), [])
+        insort(entries, _make_entry(task))
+
+    def discard(self, task: Task) -> None:
+        """Remove a task; does nothing if it does not wait."""
+        kind = self._kinds_by_task.pop(task, None)
+        if kind is None:
+            return
+        entries_by_priority = self._entries_by_kind[kind]
+        entries = entries_by_priority[_get_priority(task)]
+        del entries[bisect_left(entries, _make_entry(task))]
+        if not entries:
+            del entries_by_priority[_get_priority(task)]
+        if not entries_by_priority:
+            del self._entries_by_kind[kind]
+
+    def list_by_urgency(
+        self, now: float
+    ) -> Iterator[dict[DemandKind, list[WaitingEntry]]]:
+        """Yield groups of sorted tasks by kind; an earlier group is more urgent.
+
+        Within a priority, jobs that can still meet their objective come first. The
+        others are late whatever is done.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds since the Unix epoch.
+        """
+        timely_by_priority: dict[int, dict[DemandKind, list[WaitingEntry]]] = {}
+        late_by_priority: dict[int, dict[DemandKind, list[WaitingEntry]]] = {}
+        for kind, entries_by_priority in self._entries_by_kind.items():
+            for priority, entries in entries_by_priority.items():
+                first_timely = bisect_left(entries, now, key=_get_objective)
+                timely = timely_by_priority.setdefault(priority, {})
+                timely[kind] = entries[first_timely:]
+                late = late_by_priority.setdefault(priority, {})
+                late[kind] = entries[:first_timely]
+        for priority in sorted(timely_by_priority):
+            yield timely_by_priority[priority]
+            yield late_by_priority[priority]
+
+
+def _get_priority(task: Task) -> int:
+    return task.job.spec.queue.priority
+
+
+def _get_objective(entry: WaitingEntry) -> float:
+    return entry[0]
+
+
+def _make_entry(task: Task) -> WaitingEntry:
+    return task.job.objective_at, task.task_id, task
