A long-running task gets room from tasks of a lower priority

Cause: nothing was ever stopped for a task that waits. A long-running task that lost its runner waited for as long as tasks of a lower priority filled its service (LOST: a task that lasts has to be back within 9 s of its last run, however full the service is).

Change: after 0.5 s without room on any VM, Preemption stops tasks of a strictly lower priority on one VM and Reservations keeps the room for the waiting task for 5 s; it is placed there before all others of a pass. choose_victims takes the set with the least lost work (checkpoints first, cores as used by best-effort tasks) of which no task can be left out; runs that are being stopped already count as room. At most four tasks preempt every 0.5 s, each again after 5 s at the earliest (2 s if its VM takes no starts any more), none in the first 3 s of a term. Tasks like one for which there is nothing to stop are not searched for again in the same decision.

Never stopped: tasks of the same or a higher priority, of long-running steps (AVAIL), of gangs (all members would end). Nothing is stopped for ordinary tasks, gangs and best-effort tasks, for a demand that fits nowhere, or without a ticket for the VM.

Ruled out: stopping without keeping the room (smaller tasks take it in between; test_room_is_not_given_to_another_task), and counting the kept room in Vm.reserved_demand (the limit of starts would see it). Preemption for ordinary tasks of a higher priority is left out: what it costs and earns was not measured.

Eight of the tests in test_preemption.py fail without the decision.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -14,6 +14,7 @@
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.pacing import MIN_HEADROOM
+from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.vms import Vm
 
 #: Load added for each unit of headroom that a latency-critical task would lose.
@@ -43,6 +44,10 @@
 #: Load added if the task failed or stalled on the VM's current worker, or may have
 #: crashed a worker of the VM.
 _FAILED_BEFORE_PENALTY = 5.0
+#: Obstacle of a VM whose free resources are too small.
+NO_ROOM = "room"
+#: Obstacle of a VM whose free resources are kept for another task.
+_RESERVED = "reserved room"
 #: Obstacle that depends on the other tasks of the task's step, not on its demand.
 SPREAD_LIMIT = "spread limit"
 #: Load added if the task's data is on another rack.
@@ -108,10 +113,15 @@
     ----------
     interference : InterferenceModel
         Learned interference between images.
+    reservations : Reservations, optional
+        Room that is kept for waiting tasks.
     """
 
-    def __init__(self, interference: InterferenceModel) -> None:
+    def __init__(
+        self, interference: InterferenceModel, reservations: Reservations | None = None
+    ) -> None:
         self._interference = interference
+        self._reservations = reservations
 
     def group(self, task: Task) -> Hashable:
         """Return what makes a VM's score differ between tasks of one step."""
@@ -131,10 +141,18 @@
     def find_obstacle(self, task: Task, vm: Vm) -> str:
         """Return why a task may not run on a VM, or an empty string if it may."""
         obstacle = _find_unmet_demand(task, vm)
+        if not obstacle and not self._has_unreserved_room(task, vm):
+            obstacle = _RESERVED
         if not obstacle and self.would_interfere_too_much(task, vm):
             obstacle = "interference"
         return obstacle
 
+    def _has_unreserved_room(self, task: Task, vm: Vm) -> bool:
+        if self._reservations is None:
+            return True
+        kept = self._reservations.get_demand(vm)
+        return kept is None or vm.has_room_for(task.step.reserved + kept)
+
     def _score(self, task: Task, vm: Vm) -> float:
         step = task.step
         score = vm.cpu_load + _SLOWNESS_FACTOR * (vm.slowness - 1.0)
@@ -217,7 +235,7 @@
     if vm.trial is not None:
         return "trial"
     if not vm.has_room_for(step.reserved):
-        return "room"
+        return NO_ROOM
     if step.fills and vm.cpu_load >= _MAX_BEST_EFFORT_LOAD:
         return "load"
     if step.spread_limit and vm.count_step_tasks(task) >= step.spread_limit:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -14,6 +14,7 @@
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.placement import Placement
+from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.unplaceable import Unplaceable
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_jobs.core.waiting import DemandKind, WaitingEntry
@@ -46,15 +47,22 @@
         Tickets of the advice service.
     placement : Placement
         Policy that chooses the VMs.
+    reservations : Reservations
+        Room that is kept for waiting tasks.
     """
 
     def __init__(
-        self, jobs: JobTable, tickets: TicketCache, placement: Placement
+        self,
+        jobs: JobTable,
+        tickets: TicketCache,
+        placement: Placement,
+        reservations: Reservations,
     ) -> None:
         self._unplaced_by_kind: dict[DemandKind, Task] = {}
         self._jobs = jobs
         self._tickets = tickets
         self._placement = placement
+        self._reservations = reservations
 
     @property
     def unplaced(self) -> Iterable[Task]:
@@ -77,8 +85,10 @@
         """
         self._placement.now = now
         self._unplaced_by_kind = {}
+        self._reservations.remove_ended(now)
         if not self._jobs.ready:
             return
+        yield from self._place_reserved(vms)
         unplaceable = Unplaceable(self._placement)
         candidates: Candidates | None = None
         for kind, task in self._iterate_placeable(unplaceable, vms, now):
@@ -97,6 +107,21 @@
                 unplaceable.add(kind, task, vms)
                 self._unplaced_by_kind.setdefault(kind, task)
 
+    def _place_reserved(self, vms: list[Vm]) -> Iterator[Placed]:
+        """Place the tasks for which there is room now where it was kept for them."""
+        for reservation in self._reservations:
+            task = reservation.task
+            if reservation.vm not in vms:
+                continue
+            if task.crashed_on and not _may_begin_trial(vms):
+                continue
+            self._reservations.remove(reservation)
+            allowed = self._filter_by_ticket(task, [reservation.vm])
+            placements = _place_task(task, Candidates(task, allowed, self._placement))
+            if not placements:
+                self._reservations.add(reservation)
+            yield from placements
+
     def _iterate_placeable(
         self, unplaceable: Unplaceable, vms: list[Vm], now: float
     ) -> Iterator[tuple[DemandKind, Task]]:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -41,6 +41,7 @@
 from pollenkeel_jobs.core.passes import OrderBatch, Pass, PlannedStart, RecordedEnds
 from pollenkeel_jobs.core.placement import LeastLoaded
 from pollenkeel_jobs.core.placement_log import WaitLog, log_interference
+from pollenkeel_jobs.core.preemption import Preemption
 from pollenkeel_jobs.core.progress import (
     has_stalled,
     update_best_effort_use,
@@ -49,6 +50,7 @@
 )
 from pollenkeel_jobs.core.ready_queue import Placed, ReadyQueue
 from pollenkeel_jobs.core.records import encode_progress
+from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.speed import VmSpeeds
 from pollenkeel_jobs.core.stops import StopOrderQueue
 from pollenkeel_jobs.core.tables import RowWrite
@@ -100,8 +102,14 @@
         self._unsent_starts: list[PlannedStart] = []
         self._stops = StopOrderQueue()
         self._interference = interference
-        self._placement = LeastLoaded(self._interference)
-        self._queue = ReadyQueue(self._jobs, self._tickets, self._placement)
+        reservations = Reservations(self._jobs.ready)
+        self._placement = LeastLoaded(self._interference, reservations)
+        self._queue = ReadyQueue(
+            self._jobs, self._tickets, self._placement, reservations
+        )
+        self._preemption = Preemption(
+            self._jobs.ready, self._tickets, self._placement, reservations
+        )
         self._migration = Migration(self._placement)
         self._speeds = VmSpeeds()
         self._wait_log = WaitLog()
@@ -563,6 +571,7 @@
             self._jobs.add_due_occurrences()
             self._place_ready_tasks()
             self._stop_tasks_to_migrate()
+            self._stop_preempted_tasks()
             jobs = self._jobs.pop_dirty(_JOBS_PER_COMMIT)
             # Ends are acknowledged only once the progress of all jobs is recorded.
             ends = [] if self._jobs.dirty else list(self._collect_ends())
@@ -687,3 +696,20 @@
             )
             task.stop_wanted = True
             self._stop(vm, task.task_id, task.run, now)
+
+    def _stop_preempted_tasks(self) -> None:
+        """Stop tasks of a lower priority for long-running tasks that wait for room."""
+        now = self._clock.now()
+        for preempted in self._preemption.choose(self._fleet.usable(), now):
+            task, vm, waiting = preempted.task, preempted.vm, preempted.waiting
+            log_change(
+                logger,
+                "task preempted",
+                task=task.task_id,
+                run=task.run,
+                vm=vm.name,
+                waiting=waiting.task_id,
+                waited=round(now - waiting.ready_at, 2),
+            )
+            task.stop_wanted = True
+            self._stop(vm, task.task_id, task.run, now)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/waiting.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/waiting.py
@@ -65,9 +65,15 @@
     Each kind of demand has its tasks in a sorted list, so that no pass has to sort.
 
     Not thread-safe; the scheduler's lock protects it.
+
+    Attributes
+    ----------
+    long_running : dict of Task to None
+        Those of the tasks that run until their job is cancelled.
     """
 
     def __init__(self) -> None:
+        self.long_running: dict[Task, None] = {}
         self._kinds_by_task: dict[Task, DemandKind] = {}
         self._entries_by_kind: dict[DemandKind, dict[int, list[WaitingEntry]]] = {}
 
@@ -86,6 +92,8 @@
             return
         kind = make_demand_kind(task)
         self._kinds_by_task[task] = kind
+        if task.step.long_running:
+            self.long_running[task] = None
         entries_by_priority = self._entries_by_kind.setdefault(kind, {})
         entries = entries_by_priority.setdefault(_get_priority(task), [])
         insort(entries, _make_entry(task))
@@ -95,6 +103,7 @@
         kind = self._kinds_by_task.pop(task, None)
         if kind is None:
             return
+        self.long_running.pop(task, None)
         entries_by_priority = self._entries_by_kind[kind]
         entries = entries_by_priority[_get_priority(task)]
         del entries[bisect_left(entries, _make_entry(task))]
@@ -103,6 +112,10 @@
         if not entries_by_priority:
             del self._entries_by_kind[kind]
 
+    def get_kind(self, task: Task) -> DemandKind:
+        """Return the kind of a waiting task's demand."""
+        return self._kinds_by_task[task]
+
     def list_by_urgency(
         self, now: float
     ) -> Iterator[dict[DemandKind, list[WaitingEntry]]]:
--- a/packages/pollenkeel-jobs/tests/core/test_waiting.py
+++ b/packages/pollenkeel-jobs/tests/core/test_waiting.py
@@ -14,6 +14,7 @@
 from pollenkeel_jobs.core.placement import LeastLoaded
 from pollenkeel_jobs.core.placement_log import WaitLog
 from pollenkeel_jobs.core.ready_queue import ReadyQueue
+from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.vms import Vm
 
 #: More steps than the queue ever looked at in one pass.
@@ -43,7 +44,9 @@
         self.jobs = JobTable(clock)
         self.placement = CountingPlacement(InterferenceModel())
         self.tickets = TicketCache(clock)
-        self.queue = ReadyQueue(self.jobs, self.tickets, self.placement)
+        self.queue = ReadyQueue(
+            self.jobs, self.tickets, self.placement, Reservations(self.jobs.ready)
+        )
 
     def run_pass(self):
         """Return the placements of one pass as (task id, VM name)."""
