--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -14,6 +14,7 @@
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.pacing import MIN_HEADROOM
+from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.vms import Vm
 
 #: Load added for each unit of headroom that a latency-critical task would lose.
@@ -45,6 +46,12 @@
 _FAILED_BEFORE_PENALTY = 5.0
 #: Load added while a run on the VM seems to have stalled, see ``Vm.avoided_until``.
 _AVOIDED_PENALTY = 2.0
+#: Obstacle of a VM whose free resources are too small.
+NO_ROOM = "room"
+#: Obstacle of a VM whose free resources are kept for another task.
+_RESERVED = "reserved room"
+#: Obstacle that depends on the other tasks of the task's step, not on its demand.
+SPREAD_LIMIT = "spread limit"
 #: Load added if the task's data is on another rack.
 _REMOTE_DATA_PENALTY = 1.0
 
@@ -75,6 +82,13 @@
     def would_interfere_too_much(self, task: Task, vm: Vm) -> bool:
         """Return whether a best-effort task interferes too much with others on a VM."""
 
+    @abstractmethod
+    def has_waited_long(self, task: Task) -> bool:
+        """Return whether a task has waited so long that limits are lifted for it.
+
+        Where such a best-effort task may not run, none of its kind of demand may.
+        """
+
     @abstractmethod
     def group(self, task: Task) -> Hashable:
         """Return what makes a VM's score differ between tasks of one step."""
@@ -101,15 +115,20 @@
     ----------
     interference : InterferenceModel
         Learned interference between images.
+    reservations : Reservations, optional
+        Room that is kept for waiting tasks.
     """
 
-    def __init__(self, interference: InterferenceModel) -> None:
+    def __init__(
+        self, interference: InterferenceModel, reservations: Reservations | None = None
+    ) -> None:
         self._interference = interference
+        self._reservations = reservations
 
     def group(self, task: Task) -> Hashable:
         """Return what makes a VM's score differ between tasks of one step."""
         return (
-            self._has_waited_long(task),
+            self.has_waited_long(task),
             frozenset(task.failed_on),
             frozenset(task.crashed_on),
         )
@@ -124,10 +143,18 @@
     def find_obstacle(self, task: Task, vm: Vm) -> str:
         """Return why a task may not run on a VM, or an empty string if it may."""
         obstacle = _find_unmet_demand(task, vm)
+        if not obstacle and not self._has_unreserved_room(task, vm):
+            obstacle = _RESERVED
         if not obstacle and self.would_interfere_too_much(task, vm):
             obstacle = "interference"
         return obstacle
 
+    def _has_unreserved_room(self, task: Task, vm: Vm) -> bool:
+        if self._reservations is None:
+            return True
+        kept = self._reservations.get_demand(vm)
+        return kept is None or vm.has_room_for(task.step.reserved + kept)
+
     def _score(self, task: Task, vm: Vm) -> float:
         step = task.step
         score = vm.cpu_load + _SLOWNESS_FACTOR * (vm.slowness - 1.0)
@@ -159,9 +186,10 @@
         share = self._estimate_headroom_share(task, vm)
         if share <= _MAX_HEADROOM_SHARE:
             return False
-        return not self._has_waited_long(task) or self._has_interfering_tasks(vm)
+        return not self.has_waited_long(task) or self._has_interfering_tasks(vm)
 
-    def _has_waited_long(self, task: Task) -> bool:
+    def has_waited_long(self, task: Task) -> bool:
+        """Return whether a task has waited so long that limits are lifted for it."""
         return self.now - task.ready_at > _MAX_WAIT_SECONDS
 
     def _has_interfering_tasks(self, vm: Vm) -> bool:
@@ -211,9 +239,9 @@
     if vm.trial is not None:
         return "trial"
     if not vm.has_room_for(step.reserved):
-        return "room"
+        return NO_ROOM
     if step.fills and vm.cpu_load >= _MAX_BEST_EFFORT_LOAD:
         return "load"
     if step.spread_limit and vm.count_step_tasks(task) >= step.spread_limit:
-        return "spread limit"
+        return SPREAD_LIMIT
     return ""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -51,6 +51,7 @@
 )
 from pollenkeel_jobs.core.placement import LeastLoaded
 from pollenkeel_jobs.core.placement_log import WaitLog, log_interference
+from pollenkeel_jobs.core.preemption import Preemption
 from pollenkeel_jobs.core.progress import (
     store_checkpoint,
     update_best_effort_use,
@@ -65,6 +66,7 @@
     log_late_report,
     log_overtaken_lists,
 )
+from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.speed import VmSpeeds
 from pollenkeel_jobs.core.stalls import StallDetector
 from pollenkeel_jobs.core.stops import StopOrderQueue
@@ -117,8 +119,14 @@
         self._unsent_starts: list[PlannedStart] = []
         self._stops = StopOrderQueue()
         self._interference = interference
-        self._placement = LeastLoaded(self._interference)
-        self._queue = ReadyQueue(self._jobs, self._tickets, self._placement)
+        reservations = Reservations(self._jobs.ready)
+        self._placement = LeastLoaded(self._interference, reservations)
+        self._queue = ReadyQueue(
+            self._jobs, self._tickets, self._placement, reservations
+        )
+        self._preemption = Preemption(
+            self._jobs.ready, self._tickets, self._placement, reservations
+        )
         self._migration = Migration(self._placement)
         self._speeds = VmSpeeds()
         self._stalls = StallDetector(self._speeds, self._fleet.quarantine)
@@ -562,6 +570,7 @@
             self._jobs.add_due_occurrences()
             self._place_ready_tasks()
             self._stop_tasks_to_migrate()
+            self._stop_preempted_tasks()
             jobs = self._jobs.pop_dirty(_JOBS_PER_COMMIT)
             # Ends are acknowledged only once the progress of all jobs is recorded.
             ends = [] if self._jobs.dirty else list(self._collect_ends())
@@ -636,7 +645,7 @@
 
     def _record_placement(self, placed: Placed, now: float) -> None:
         task, vm = placed.task, placed.vm
-        del self._jobs.ready[task]
+        self._jobs.ready.discard(task)
         task.reset_run()
         task.state = TaskState.PLACED
         task.run = placed.run
@@ -686,3 +695,20 @@
             )
             task.stop_wanted = True
             self._stop(vm, task.task_id, task.run, now)
+
+    def _stop_preempted_tasks(self) -> None:
+        """Stop tasks of a lower priority for long-running tasks that wait for room."""
+        now = self._clock.now()
+        for preempted in self._preemption.choose(self._fleet.usable(), now):
+            task, vm, waiting = preempted.task, preempted.vm, preempted.waiting
+            log_change(
+                logger,
+                "task preempted",
+                task=task.task_id,
+                run=task.run,
+                vm=vm.name,
+                waiting=waiting.task_id,
+                waited=round(now - waiting.ready_at, 2),
+            )
+            task.stop_wanted = True
+            self._stop(vm, task.task_id, task.run, now)
