Delete the progress of an old job after the job's own row

Cause: the progress was deleted first. If the row of the job could not be deleted after it, the next leader found a job without progress and ran all of it again (review, read and not tried).

Change: the job's row goes first, and its progress stays while that row may remain.

Evidence: the new test, with a refused, a lost and a dropped answer, failed in all three cases.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -318,13 +318,15 @@
                 sender.add(work)
 
     def _delete_old_jobs(self) -> None:
-        """Delete the rows of jobs that ended long ago."""
+        """Delete the rows of jobs that ended long ago.
+
+        The progress is deleted last: a job without progress would run again.
+        """
         now = self.clock.now()
         if now < self._next_cleanup_at:
             return
         self._next_cleanup_at = now + _CLEANUP_INTERVAL
         for job_id in self.scheduler.forget_old_jobs():
-            self.leadership.commit((RowWrite(PROGRESS, job_id, None),))
             rows = (RowWrite(JOBS, job_id, None), RowWrite(CANCELS, job_id, None))
             partition = get_intake_partition(job_id)
             removed = self._tables.transact(Transaction(partition, (), rows))
@@ -334,6 +336,8 @@
                     "rows of old job not deleted",
                     extra={"job": job_id, "cause": detail},
                 )
+                continue
+            self.leadership.commit((RowWrite(PROGRESS, job_id, None),))
 
     def _fetch_advice(self) -> None:
         """Query the advice service for steps that wait for tickets, one at a time."""
--- a/packages/pollenkeel-jobs/tests/core/test_leader.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leader.py
@@ -11,6 +11,8 @@
 from pollenkeel_jobs.core.names import (
     INTAKE_PARTITIONS,
     JOBS,
+    LEADER_PARTITION,
+    PROGRESS,
     get_intake_partition,
 )
 from pollenkeel_jobs.core.operations import (
@@ -104,3 +106,22 @@
     term.apply_row("bad", encode_job(make_job("bad")))
     term.apply_row("good", encode_job(make_job("good")))
     assert term.scheduler.find_status("good") is not None
+
+
+@pytest.mark.parametrize("fault", ["refused", "lost", "dropped"])
+def test_progress_is_kept_while_the_row_of_its_job_may_remain(
+    term, tables, clock, fault
+):
+    """Guards against an ended job that the next leader runs again."""
+    write = RowWrite(JOBS, "j1", encode_job(make_job()))
+    tables.apply(Transaction(get_intake_partition("j1"), (), (write,)))
+    term._load(threading.Event())
+    term.scheduler.cancel_job("j1")
+    planned = term.scheduler.plan()
+    term.leadership.commit(planned.writes)
+    term.scheduler.confirm(planned)
+    clock.advance(620.0)
+    term.leadership.renew()
+    tables.faults = [fault]
+    term._delete_old_jobs()
+    assert tables.rows_by_key[LEADER_PARTITION, PROGRESS, "j1"].value is not None
