--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/tables.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/tables.py
@@ -91,11 +91,14 @@
         Version of the table service at the time of the read.
     more : bool
         Further rows follow.
+    last_key : str
+        Key of the last row, which may be one that was left out as malformed.
     """
 
     rows: tuple[Row, ...]
     version: int
     more: bool = False
+    last_key: str = ""
 
 
 class TableService(ABC):
@@ -150,6 +153,6 @@
             # A change feed from the version of the first page also returns changes
             # made while the later pages were read.
             version = version or found.version
-            if not found.more or not found.rows:
+            if not found.more:
                 return Ok(Page(tuple(rows), version))
-            start = found.rows[-1].key + "\0"
+            start = found.last_key + "\0"
