A preemption decision searches for a bounded number of demands

Change: at most 40 demands are searched for in a decision; those for which there was nothing to stop come last in the next one, so that they hide no other.

Ruled out: a fixed order with a bound (the first 40 would hide the others for good).

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/preemption.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/preemption.py
@@ -15,6 +15,7 @@
 from pollenkeel_jobs.core.model import Demand, Task, TaskState
 from pollenkeel_jobs.core.placement import NO_ROOM, Placement
 from pollenkeel_jobs.core.reservations import Reservation, Reservations
+from pollenkeel_jobs.core.unplaceable import get_step
 from pollenkeel_jobs.core.victims import Stoppable, Victims, choose_victims
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_jobs.core.waiting import WaitingTasks
@@ -28,6 +29,8 @@
 _DECISION_INTERVAL = 0.5
 #: Maximum number of tasks for which others are stopped in one decision.
 _MAX_TASKS_PER_DECISION = 4
+#: Maximum number of different demands for which VMs are searched in one decision.
+_MAX_SEARCHES = 40
 #: Seconds for which room is kept for a task, and after which others may be stopped for
 #: it again. Longer than a stop and its report take.
 _KEEP_SECONDS = 5.0
@@ -78,6 +81,7 @@
         self._reservations = reservations
         self._next_decision_at: float | None = None
         self._latest_by_task: dict[Task, Reservation] = {}
+        self._hopeless_at_by_key: dict[Hashable, float] = {}
         self._stoppable_by_vm: dict[tuple[Vm, int], Stoppable] = {}
 
     def choose(self, vms: list[Vm], now: float) -> Iterator[Preempted]:
@@ -111,24 +115,30 @@
     ) -> Iterator[tuple[Task, Vm, Victims]]:
         """Yield each task for which others may be stopped, with the VM and these.
 
-        If there are none for a task, there are none for others like it.
+        If there are none for a task, there are none for others like it. Such tasks come
+        last in the next decision, so that they hide no other.
         """
-        hopeless: set[Hashable] = set()
+        tasks_by_key: dict[Hashable, list[Task]] = {}
         for task in sorted(self._waiting.long_running, key=_get_urgency):
-            like = self._make_search_key(task)
-            if like in hopeless or not self._may_preempt(task, vms, now):
-                continue
-            found = self._find_cheapest(task, vms, now)
-            if found is None:
-                hopeless.add(like)
-            else:
+            if self._may_preempt(task, vms, now):
+                tasks_by_key.setdefault(self._make_search_key(task), []).append(task)
+        hopeless_at = {
+            key: self._hopeless_at_by_key.get(key, 0.0) for key in tasks_by_key
+        }
+        self._hopeless_at_by_key = hopeless_at
+        for key in sorted(hopeless_at, key=hopeless_at.__getitem__)[:_MAX_SEARCHES]:
+            for task in tasks_by_key[key]:
+                found = self._find_cheapest(task, vms, now)
+                if found is None:
+                    hopeless_at[key] = now
+                    break
                 yield task, *found
 
     def _make_search_key(self, task: Task) -> Hashable:
         """Return what the search for tasks to stop depends on."""
         queue = task.job.spec.queue
         own_step = queue.advised or task.step.spread_limit
-        step = (task.job, task.key.occurrence, task.key.step) if own_step else None
+        step = get_step(task) if own_step else None
         return self._waiting.get_kind(task), queue.priority, step
 
     def _forget_old_reservations(self, now: float) -> None:
