--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -265,7 +265,11 @@
         The call to the worker extends its lease and returns once a run ends, or after
         ``seconds`` at most.
         """
-        self._tracker.confirm_pending(self._epoch)
+        run_step(
+            lambda: self._tracker.confirm_next(self._epoch),
+            logger,
+            "announcement cannot be confirmed",
+        )
         with self._lock:
             state = self._tracker.state
             epoch = self._epoch
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/announcements.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/announcements.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 import logbook
 
 from pollenkeel_jobs.core.messages import VmReportReply
@@ -67,9 +65,15 @@
             oldest = next(iter(self._announcements_by_incarnation))
             del self._announcements_by_incarnation[oldest]
 
-    def list(self) -> Iterable[WorkerAnnouncement]:
-        """Return all announcements, the one that has waited longest first."""
-        return list(self._announcements_by_incarnation.values())
+    def first(self) -> WorkerAnnouncement | None:
+        """Return the announcement that is next to be confirmed, or None."""
+        return next(iter(self._announcements_by_incarnation.values()), None)
+
+    def postpone(self, announcement: WorkerAnnouncement) -> None:
+        """Put an announcement behind all others if it still waits."""
+        known = self._announcements_by_incarnation.pop(announcement.incarnation, None)
+        if known is not None:
+            self._announcements_by_incarnation[known.incarnation] = known
 
     def remove(self, announcement: WorkerAnnouncement) -> None:
         """Remove the announcement of an incarnation if there is one."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
@@ -179,26 +179,27 @@
             log_change(logger, "worker is draining", worker=announcement.incarnation)
         return True
 
-    def confirm_pending(self, epoch: int) -> None:
-        """Ask the worker whether it is one of the announced incarnations.
+    def confirm_next(self, epoch: int) -> None:
+        """Ask the worker whether it is the next of the announced incarnations.
 
-        The call has no effect on its lease and its ended runs. ``epoch`` is the fencing
-        token of the leader.
+        The call has no effect on its lease and its ended runs. There is one for each
+        poll, so that announcements of others don't hold up the lease. ``epoch`` is the
+        fencing token of the leader.
         """
         with self.lock:
-            announcements = self._pending.list()
-        for announcement in announcements:
+            announcement = self._pending.first()
             before = self.state
-            order = WorkerOrder(announcement.worker_id, announcement.born, epoch)
-            result = self._worker.hold(order, 0.0, 0, 0.0)
-            if not isinstance(result, Err):
-                self._begin_incarnation(announcement, before)
-            elif result.err_value.answered_by_other:
-                with self.lock:
-                    self._pending.remove(announcement)
-                report_denied(announcement, result.err_value)
-            else:
+            if announcement is None:
                 return
+            self._pending.postpone(announcement)
+        order = WorkerOrder(announcement.worker_id, announcement.born, epoch)
+        result = self._worker.hold(order, 0.0, 0, 0.0)
+        if not isinstance(result, Err):
+            self._begin_incarnation(announcement, before)
+        elif result.err_value.answered_by_other:
+            with self.lock:
+                self._pending.remove(announcement)
+            report_denied(announcement, result.err_value)
 
     def _begin_incarnation(
         self, announcement: WorkerAnnouncement, before: WorkerState | None
--- a/packages/pollenkeel-jobs/tests/core/test_announcements.py
+++ b/packages/pollenkeel-jobs/tests/core/test_announcements.py
@@ -189,3 +189,47 @@
     start = StartOrder("j.0.0.0", 1, TaskProfile("j.0.0.0"), "", "")
     orders = VmOrders("e", 0.0, EPOCH, "tcp://127.0.0.1:1", incarnation, 0.0, [start])
     assert [outcome.outcome for outcome in agent.handle(orders).outcomes] == ["refused"]
+
+
+@pytest.mark.parametrize("failure", ["exception", "400"])
+def test_announcement_that_cannot_be_confirmed_blocks_no_other(agent, worker, failure):
+    """Guards against a worker that is never used, or loses its lease, for an odd id."""
+    answer = worker.hold
+
+    def hold(order, *args):
+        if order.worker_id == "odd":
+            if failure == "exception":
+                raise ValueError("header can't be encoded")
+            return Err(WorkerFailure(True, "400"))
+        return answer(order, *args)
+
+    worker.hold = hold
+    agent.record_announcement(attrs.evolve(announce(), worker_id="odd"))
+    agent.record_announcement(announce())
+    poll(agent, 2)
+    state = agent._tracker.state
+    assert state.announcement.worker_id == "w"
+    state.lease_until = 9000.0
+    poll(agent, 2)
+    assert worker.holds[-1] == (1, 9000.0, 0)
+
+
+def test_pending_announcements_do_not_hold_up_the_lease(agent, worker, clock):
+    """Guards against a slow worker whose lease lapses while others are denied."""
+    agent.record_announcement(announce())
+    poll(agent)
+    agent._tracker.state.lease_until = 9000.0
+    answer, leases = worker.hold, []
+
+    def hold(order, deadline, *args):
+        clock.advance(0.8)
+        if deadline:
+            leases.append(clock.now())
+        return answer(order, deadline, *args)
+
+    worker.hold = hold
+    began = clock.now()
+    for born in range(2, 10):
+        agent.record_announcement(announce(born))
+    poll(agent, 2)
+    assert leases[0] - began < 5.0
