Remember replaced incarnations for a term, and move listed runs at once

Cause: (1) reports of a replaced incarnation were ignored for 10 s; one that a link delivered later registered it again, and the present one was ignored in turn for 10 s. (2) A run that lists had shown on the incarnation before waited for a revocation, up to the end of the lease if the worker didn't answer, though no later incarnation can have it. (4) Ended runs were acknowledged by a count that stood for long, also to a worker that had restarted since the last call. (5) A worker that didn't answer was refused starts, and the leader tried it again at once; a worker that is only slow used to keep its starts.

Change: replaced incarnations are remembered for the term, the latest 64 of a VM; only runs that no list has shown stay with a worker that is back under its id; every call extends the lease, which a wrong incarnation may hold for 6 s at most, as the leader counts with; ends are acknowledged only while they are listed and after a call that succeeded; starts are refused only until the worker has announced itself.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Iterable
 from concurrent.futures import Future, ThreadPoolExecutor, wait
@@ -150,17 +151,11 @@
 
     @staticmethod
     def _find_start_refusal_reason(state: WorkerState) -> str:
-        """Return why starts must be refused, or an empty string.
-
-        A worker that has not answered the latest poll may have been replaced by another
-        incarnation, which would execute the starts.
-        """
+        """Return why starts must be refused, or an empty string."""
         if state.announcement.draining:
             return "draining"
         if not state.announced:
             return "not announced"
-        if not state.answering:
-            return "worker not answering"
         return ""
 
     def _execute_orders(
@@ -309,6 +304,7 @@
             return
         lists = result.ok_value
         with self._lock:
+            state.first_ended = min((e.number for e in lists.ended), default=math.inf)
             state.starts.forget((end.task_id, end.run) for end in lists.ended)
         # Only the polls of ``run`` adjust speed caps, not the one for a new leader.
         if seconds:
@@ -321,16 +317,15 @@
     def _hold(
         self, state: WorkerState, order: WorkerOrder, seconds: float
     ) -> Result[WorkerLists, WorkerFailure]:
-        """Extend the worker's lease and return its lists.
+        """Extend the worker's lease, acknowledge ended runs and return its lists.
 
-        After a failure the worker may be another incarnation, whose ended runs must not
-        be acknowledged and whose clock differs; the next call only asks which it is.
+        The worker may have restarted since the last call. Its next incarnation must not
+        drop ended runs of its own by the count of this one, so nothing is acknowledged
+        after a call that failed, nor once the lists show no end up to this count.
         """
-        if not state.answering:
-            return self._worker.hold(order, 0.0, 0, 0.0)
-        return self._worker.hold(
-            order, state.lease_until, state.recorded_through, seconds
-        )
+        acknowledges = state.answering and state.first_ended <= state.recorded_through
+        recorded_through = state.recorded_through if acknowledges else 0
+        return self._worker.hold(order, state.lease_until, recorded_through, seconds)
 
     def _update_paces(
         self, state: WorkerState, order: WorkerOrder, lists: WorkerLists
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -27,9 +27,6 @@
 _LONGEST_LEASE = 6.0
 #: Seconds after which any lease that a worker has accepted has expired for certain.
 _LONGEST_LEASE_EXPIRY_SECONDS = _LONGEST_LEASE * _CLOCK_SKEW_FACTOR + _EXPIRY_MARGIN
-#: Seconds for which reports of a replaced incarnation may still arrive; longer than the
-#: agents' timeout for a report.
-_OLD_REPORT_SECONDS = 10.0
 #: Seconds after the first report of a term for which agents that have not reported may
 #: still be starting. When all processes restart, agents come back at different times,
 #: and their workers may list ends of runs that no leader has recorded.
@@ -126,8 +123,9 @@
 
         The tasks that an earlier leader placed on the new incarnation (see
         ``add_orphan``) are added to the VM. So are those whose orders a worker with the
-        same id may have executed after it restarted: until its lists or a stop show
-        that they don't run there, they must not be started elsewhere.
+        same id may have executed after it restarted, as no list has shown their runs:
+        until its lists or a stop show that they don't run there, they must not be
+        started elsewhere.
 
         Returns
         -------
@@ -147,7 +145,7 @@
         self._vms_by_incarnation.pop(vm.incarnation, None)
         self._vms_by_incarnation[incarnation] = vm
         if vm.incarnation:
-            vm.replaced_until_by_incarnation[vm.incarnation] = now + _OLD_REPORT_SECONDS
+            vm.replaced.append(vm.incarnation)
         vm.incarnation = incarnation
         vm.fenced = False
         vm.clock = vm.lease_until = 0.0
@@ -183,8 +181,10 @@
         placed = list(vm.tasks_by_id.values())
         for task in placed:
             vm.remove(task)
-        sent = [task for task in placed if task.sent]
-        lost = [task for task in placed if not task.sent]
+        sent: list[Task] = []
+        lost: list[Task] = []
+        for task in placed:
+            (sent if task.sent and not task.seen_at else lost).append(task)
         for other in list(self._orphans_by_incarnation):
             if other != incarnation and other.partition("/")[0] == vm.name:
                 sent += self._orphans_by_incarnation.pop(other).values()
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -260,7 +260,7 @@
             now = self._clock.now()
             if vm is None:
                 return VmReportReply("", now, self.epoch)
-            if vm.is_replaced(report.worker, now):
+            if report.worker in vm.replaced:
                 log_late_report(vm, report)
             elif vm.has_newer_lists(report.worker, report.clock):
                 log_overtaken_lists(vm, report)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Set
 
 import attrs
@@ -14,6 +14,8 @@
 REPORT_VALID_SECONDS = 1.2
 #: Remaining seconds of the worker's lease that a start requires.
 _MIN_LEASE_SECONDS = 2.0
+#: Number of replaced incarnations that are remembered.
+_MAX_REPLACED = 64
 #: Share of its declared CPU that a latency-critical task uses on average.
 _MEAN_SERVING_SHARE = 0.5
 
@@ -52,9 +54,8 @@
     incarnation : str
         Incarnation of the worker according to the last report, as
         ``<vm>/<worker id>~<start time>``.
-    replaced_until_by_incarnation : dict of str to float
-        Replaced incarnations and the time until which late reports of them are ignored,
-        in seconds since the Unix epoch.
+    replaced : deque of str
+        Latest incarnations that others have replaced; late reports of them are ignored.
     heard_at : float
         Time of the last report, in seconds since the Unix epoch.
     listed_at : float
@@ -117,7 +118,7 @@
     rejecting: bool = False
     capacity: Demand = attrs.field(factory=Demand)
     labels: frozenset[str] = frozenset()
-    replaced_until_by_incarnation: dict[str, float] = attrs.field(factory=dict)
+    replaced: deque[str] = attrs.field(factory=lambda: deque(maxlen=_MAX_REPLACED))
     heard_at: float = 0.0
     listed_at: float = 0.0
     fenced: bool = False
@@ -152,13 +153,6 @@
         profiles = self.profiles_by_task.values()
         return {profile.image for profile in profiles if profile.fills}
 
-    def is_replaced(self, incarnation: str, now: float) -> bool:
-        """Return whether a report of this incarnation must be out of date."""
-        for name, until in list(self.replaced_until_by_incarnation.items()):
-            if now >= until:
-                del self.replaced_until_by_incarnation[name]
-        return incarnation in self.replaced_until_by_incarnation
-
     def has_newer_lists(self, incarnation: str, clock: float) -> bool:
         """Return whether later lists than those of this time have been processed.
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections import deque
 
@@ -49,6 +50,8 @@
         End of the lease granted by the leader, on the worker's clock, in milliseconds.
     recorded_through : int
         Number up to which the leader has recorded the worker's ended runs.
+    first_ended : float
+        Lowest number of an ended run in the latest lists; infinite if there is none.
     profiles_by_task : dict of str to TaskProfile
         Profiles received from the leader.
     withdrawn : dict of (str, int) to None
@@ -69,6 +72,7 @@
     announcement: WorkerAnnouncement
     lease_until: float = 0.0
     recorded_through: int = 0
+    first_ended: float = math.inf
     profiles_by_task: dict[str, TaskProfile] = attrs.field(factory=dict)
     withdrawn: dict[tuple[str, int], None] = attrs.field(factory=dict)
     harms: list[InterferingPair] = attrs.field(factory=list)
