--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -28,6 +28,8 @@
 #: Zone and label of the last VM, which are those of no other VM.
 CLOSED_ZONE = "z2"
 CLOSED_LABEL = "b"
+#: Label of the first VM, which no other VM has.
+CROWDED_LABEL = "c"
 #: Longest time until the store takes a row of an operator, in seconds.
 _OPERATOR_SECONDS = 30.0
 
@@ -121,6 +123,8 @@
     def find_labels(self, number: int) -> str:
         """Return the labels of a VM, separated by commas."""
         labels = super().find_labels(number)
+        if number == 0:
+            return f"{labels},{CROWDED_LABEL}"
         return f"{labels},{CLOSED_LABEL}" if self._is_last(number) else labels
 
     def _is_last(self, number: int) -> bool:
