--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -101,9 +101,9 @@
         self._wake.set()
         return accepted
 
-    def record_departure(self, worker_id: str) -> None:
+    def record_departure(self, worker_id: str, born: int = 0) -> None:
         """Mark a worker that has deregistered as draining; it gets no more starts."""
-        self._tracker.record_departure(worker_id)
+        self._tracker.record_departure(worker_id, born)
 
     # Orders from the leader.
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
@@ -217,6 +217,10 @@
             if self.state is not before:
                 return
             self._pending.remove(announcement)
+            if not self._may_have_service(announcement):
+                # The configuration was not known yet when it arrived.
+                report_unnamed_service(announcement)
+                return
             if before is not None and before.incarnation == announcement.incarnation:
                 self._update_announcement(before, announcement)
                 return
@@ -272,11 +276,17 @@
             suspects=[f"{run.task_id}:{run.run}" for run in suspects],
         )
 
-    def record_departure(self, worker_id: str) -> None:
-        """Mark a worker that has deregistered as draining; it gets no more starts."""
+    def record_departure(self, worker_id: str, born: int) -> None:
+        """Mark a worker that has deregistered as draining; it gets no more starts.
+
+        ``born`` is the start time of the incarnation that has sent the call, or 0 if it
+        doesn't say. A late call of an earlier incarnation has no effect.
+        """
         with self.lock:
             state = self.state
             if state is None or state.announcement.worker_id != worker_id:
                 return
+            if born not in (0, state.announcement.born):
+                return
             state.announcement = attrs.evolve(state.announcement, draining=True)
         log_change(logger, "worker deregistered", worker=worker_id)
--- a/packages/pollenkeel-jobs/tests/core/test_announcements.py
+++ b/packages/pollenkeel-jobs/tests/core/test_announcements.py
@@ -248,3 +248,26 @@
         agent.record_announcement(announce(born))
     poll(agent, 2)
     assert leases[0] - began < 5.0
+
+
+def test_late_departure_of_an_earlier_incarnation_has_no_effect(agent, worker, reports):
+    """Guards against sound runs that are moved for a late call."""
+    agent.record_announcement(announce())
+    poll(agent)
+    agent.record_departure("w", 5)
+    poll(agent)
+    assert reports[-1].state == "ready"
+    agent.record_departure("w", 1)
+    poll(agent)
+    assert reports[-1].state == "draining"
+
+
+def test_service_is_checked_again_once_the_worker_has_confirmed(agent, reports):
+    """Guards against a VM under a service of another writer."""
+    agent.record_announcement(announce(1, 10**6, "foreign"))
+    send_services(agent, 3, "desk")
+    poll(agent)
+    assert reports[-1].service == ""
+    agent.record_announcement(announce(1, 5))
+    poll(agent)
+    assert reports[-1].service == "desk"
