Process ended runs by number, and prefer other VMs after a refused start

Cause: ends were taken as sorted; one that is listed behind a higher number was skipped and acknowledged all the same. A task that an agent refused was placed on the same VM again in the next pass, with a write each time, as its room there is free: 20 refusals a second.

Change: ends are sorted by number; for 0.5 s after a refused start its VM is chosen last.

Evidence: both new tests failed before.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -81,6 +81,9 @@
 _JOBS_PER_COMMIT = 60
 #: Seconds after its placement at which a run that the worker does not list is revoked.
 _UNLISTED_RUN_SECONDS = 1.5
+#: Seconds after a refused start during which other VMs are preferred. Until the next
+#: report of the VM it would be chosen again and again, as it has room.
+_REFUSAL_SECONDS = 0.5
 #: Seconds between two searches for tasks to migrate.
 _MIGRATION_INTERVAL = 0.4
 #: Seconds between two writes of the learned interference weights.
@@ -356,7 +359,7 @@
                 or task.job.status.final
             ):
                 self._stop(vm, running.task_id, running.run, now)
-        for ended in report.ended:
+        for ended in sorted(report.ended, key=lambda ended: ended.number):
             listed.add((ended.task_id, ended.run))
             if ended.number > vm.ended_through:
                 vm.ended_through = ended.number
@@ -510,6 +513,8 @@
                         run=task.run,
                         reason=outcome.reason,
                     )
+                    now = self._clock.now()
+                    vm.avoided_until = max(vm.avoided_until, now + _REFUSAL_SECONDS)
                     self._requeue(task, f"refused: {outcome.reason}")
                 elif outcome.outcome == "started":
                     self._jobs.mark_started(task.job)
--- a/packages/pollenkeel-jobs/tests/core/test_incarnations.py
+++ b/packages/pollenkeel-jobs/tests/core/test_incarnations.py
@@ -3,7 +3,7 @@
 import pytest
 from jobs_doubles import Site, make_job
 
-from pollenkeel_jobs.core.messages import RunningTask
+from pollenkeel_jobs.core.messages import OrderOutcome, RunningTask
 from pollenkeel_jobs.core.model import Demand, StepSpec
 from pollenkeel_jobs.core.report_log import MAX_LISTED_ENDS
 
@@ -174,3 +174,38 @@
         assert vm.report().worker == later
         site.step()
     assert other.running == []
+
+
+def test_ends_are_processed_in_whatever_order_they_are_listed(clock):
+    """Guards against an end that is acknowledged unread."""
+    site = Site(clock)
+    site.scheduler.add_job(make_job())
+    site.step()
+    vm = site.vms[0]
+    vm.end("j1.0.0.1")
+    vm.end("j1.0.0.0")
+    vm.ended.reverse()
+    site.step()
+    assert site.scheduler.find_status("j1").value == "done"
+
+
+def test_vm_that_refuses_a_start_is_not_tried_again_at_once(clock):
+    """Guards against a task that goes round between the leader and one VM."""
+    site = Site(clock, vms=2)
+    site.step()
+    site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 1000), 1.0),)))
+    refusing, other = site.vms
+    refused = []
+
+    def refuse(orders):
+        refused.extend(orders)
+        site.scheduler.process_outcomes(
+            refusing.vm,
+            [OrderOutcome(o.task_id, o.run, "refused", "late") for o in orders],
+        )
+
+    refusing.start = refuse
+    for _ in range(20):
+        clock.advance(0.05)
+        site.step()
+    assert (len(refused), len(other.running)) == (1, 1)
