Give a ticket to the incarnation that it was asked for

Cause: tickets of the advice service were kept by the worker's id, but are valid for one life of the worker. After a restart under the same id the task was started with the earlier ticket, rejected, and placed again until the ticket's time was over: 20 refused starts in 4 s.

Change: tickets are kept by incarnation, and one that a worker rejects is dropped.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/advice.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/advice.py
@@ -45,10 +45,21 @@
 
 @attrs.frozen
 class AdviceQuestion:
-    """Request that asks which of the given workers may run a step."""
+    """Request that asks which of the given workers may run a step.
+
+    Attributes
+    ----------
+    incarnations : list of str
+        Incarnations of the workers; a ticket is valid for one only.
+    """
 
     step_id: str
-    worker_ids: list[str]
+    incarnations: list[str]
+
+    @property
+    def worker_ids(self) -> list[str]:
+        """Ids of the workers."""
+        return [_get_worker_id(incarnation) for incarnation in self.incarnations]
 
 
 class AdviceService(ABC):
@@ -61,9 +72,9 @@
 
 @attrs.define
 class _StepTickets:
-    """Tickets of one step; ``refused`` holds the workers that got none."""
+    """Tickets of one step; ``refused`` holds the incarnations that got none."""
 
-    tickets_by_worker: dict[str, str] = attrs.field(factory=dict)
+    tickets_by_incarnation: dict[str, str] = attrs.field(factory=dict)
     valid_until: float = 0.0
     asked_at: float = 0.0
     refused: set[str] = attrs.field(factory=set)
@@ -88,14 +99,20 @@
         step = self._tickets_by_step.get(_get_step_id(task))
         if step is None or self._clock.now() > step.valid_until:
             return ""
-        return step.tickets_by_worker.get(_get_worker_id(vm), "")
+        return step.tickets_by_incarnation.get(vm.incarnation, "")
+
+    def drop(self, task: Task, vm: Vm) -> None:
+        """Drop the ticket for a task on a VM, which the worker has rejected."""
+        step = self._tickets_by_step.get(_get_step_id(task))
+        if step is not None:
+            step.tickets_by_incarnation.pop(vm.incarnation, None)
 
     def has_tickets(self, task: Task) -> bool:
         """Return whether a task's step has a valid ticket for any VM."""
         step = self._tickets_by_step.get(_get_step_id(task))
         return (
             step is not None
-            and bool(step.tickets_by_worker)
+            and bool(step.tickets_by_incarnation)
             and self._clock.now() <= step.valid_until
         )
 
@@ -112,11 +129,12 @@
         if self._clock.now() - step.asked_at < _REPEAT_INTERVAL:
             return
         candidates = sorted(vms, key=lambda vm: vm.cpu_load)
-        worker_ids = [_get_worker_id(vm) for vm in candidates]
-        eligible = [worker for worker in worker_ids if worker not in step.refused]
+        eligible = [vm for vm in candidates if vm.incarnation not in step.refused]
         if eligible:
-            question = AdviceQuestion(step_id, eligible[:_MAX_WORKERS_PER_CALL])
-            self._pending_questions_by_step[step_id] = question
+            asked = eligible[:_MAX_WORKERS_PER_CALL]
+            self._pending_questions_by_step[step_id] = AdviceQuestion(
+                step_id, [vm.incarnation for vm in asked]
+            )
 
     def pop_question(self) -> AdviceQuestion | None:
         """Remove and return the next request, or None if the queue is empty."""
@@ -133,10 +151,14 @@
     ) -> None:
         """Store the tickets of a reply; ``asked_at`` is the time of the request."""
         step = self._tickets_by_step.setdefault(question.step_id, _StepTickets())
-        step.tickets_by_worker.update(advice.tickets_by_worker)
+        for incarnation in question.incarnations:
+            ticket = advice.tickets_by_worker.get(_get_worker_id(incarnation))
+            if ticket is None:
+                # The service never changes its decision for a step and a worker.
+                step.refused.add(incarnation)
+            else:
+                step.tickets_by_incarnation[incarnation] = ticket
         step.valid_until = asked_at + advice.valid - _DELIVERY_RESERVE_SECONDS
-        # The service never changes its decision for a step and a worker.
-        step.refused |= set(question.worker_ids) - set(advice.tickets_by_worker)
 
     def forget(self, job_id: str) -> None:
         """Drop the tickets and requests of a job that has ended."""
@@ -150,6 +172,6 @@
     return task.task_id.rpartition(".")[0]
 
 
-def _get_worker_id(vm: Vm) -> str:
-    """Return the worker id from the ``VM/WORKER~START`` form of the incarnation."""
-    return vm.incarnation.partition("/")[2].rpartition("~")[0]
+def _get_worker_id(incarnation: str) -> str:
+    """Return the worker id from the ``VM/WORKER~START`` form of an incarnation."""
+    return incarnation.partition("/")[2].rpartition("~")[0]
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -514,6 +514,8 @@
                         reason=outcome.reason,
                     )
                     now = self._clock.now()
+                    if outcome.reason == "ticket":
+                        self._tickets.drop(task, vm)
                     vm.avoided_until = max(vm.avoided_until, now + _REFUSAL_SECONDS)
                     self._requeue(task, f"refused: {outcome.reason}")
                 elif outcome.outcome == "started":
