Bound the row of learned interference weights

Cause: the row has a weight for each pair of images ever seen. Change: the row stays below 48,000 bytes. The weights closest to the weight of an unknown pair are left out first; a leader that loads the row uses that weight for them. Ruled out: a row for each serving image (the number of images has no bound either) and leaving out small weights (a weight of 0 is knowledge, too). Not changed: the model in memory still grows with the pairs.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/interference_model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/interference_model.py
@@ -23,6 +23,11 @@
 
 #: Format version of the row with the weights.
 _ROW_VERSION = 2
+#: Maximum size of that row in bytes. The platform's store accepts 65,536.
+MAX_ROW_BYTES = 48_000
+#: Bytes that a weight and an image take in the row besides the texts of their names.
+_WEIGHT_BYTES = 16
+_IMAGE_BYTES = 16
 #: Variance of a weight relative to that of a sample: of an unknown weight, and of one
 #: that an earlier leader has learned.
 _PRIOR_VARIANCE = 400.0
@@ -152,12 +157,28 @@
         model.regression.update(changes, loss)
 
     def encode(self) -> bytes:
-        """Return the learned weights as a row from which the next leader starts."""
-        rows = [
-            [image, [[n, model.regression.weight(n)] for n in model.images]]
-            for image, model in self._models_by_image.items()
-        ]
-        return bytes(msgpack.packb([_ROW_VERSION, rows]))
+        """Return the learned weights as a row from which the next leader starts.
+
+        If they do not fit, the weights closest to that of an unknown pair are left out,
+        since their loss changes least.
+        """
+        weights_by_image: dict[str, list[tuple[str, float]]] = {}
+        size = _IMAGE_BYTES
+        for image, name, weight in sorted(self._list_weights(), key=_distance_to_prior):
+            added = len(name.encode()) + _WEIGHT_BYTES
+            if image not in weights_by_image:
+                added += len(image.encode()) + _IMAGE_BYTES
+            if size + added > MAX_ROW_BYTES:
+                continue
+            size += added
+            weights_by_image.setdefault(image, []).append((name, weight))
+        return bytes(msgpack.packb([_ROW_VERSION, list(weights_by_image.items())]))
+
+    def _list_weights(self) -> Iterator[tuple[str, str, float]]:
+        """Yield serving image, best-effort image and weight of each pair."""
+        for image, model in self._models_by_image.items():
+            for name in model.images:
+                yield image, name, model.regression.weight(name)
 
     def load(self, value: bytes) -> None:
         """Load the weights that an earlier leader has learned.
@@ -211,6 +232,11 @@
                     yield InterferingPair(image, other, round(weight, 2))
 
 
+def _distance_to_prior(pair: tuple[str, str, float]) -> float:
+    """Return the sort key of a pair; the pair furthest from the prior comes first."""
+    return -abs(pair[2] - _PRIOR_WEIGHT)
+
+
 def _make_sample(
     running: Iterable[RunningTask],
     profiles_by_task: dict[str, TaskProfile],
--- a/packages/pollenkeel-jobs/tests/core/test_interference_control.py
+++ b/packages/pollenkeel-jobs/tests/core/test_interference_control.py
@@ -2,9 +2,10 @@
 
 import random
 
+import msgpack
 import pytest
 
-from pollenkeel_jobs.core.interference_model import InterferenceModel
+from pollenkeel_jobs.core.interference_model import MAX_ROW_BYTES, InterferenceModel
 from pollenkeel_jobs.core.latency_guard import LatencyGuard
 from pollenkeel_jobs.core.messages import InterferingPair, RunningTask, TaskProfile
 from pollenkeel_jobs.core.pacing import PaceController
@@ -277,3 +278,17 @@
         over += 0.4
     # Operators tolerate four seconds, and measurements lag by up to a second.
     assert over <= 3.0
+
+
+def test_row_of_weights_is_bounded():
+    """Guards against weights that outgrow a row of the store as images come and go."""
+    model = InterferenceModel()
+    weights = [[f"image-{n}", 2.0 + (n % 100) / 10] for n in range(2_000)]
+    names = [f"serving-{n}" for n in range(5)]
+    model.load(msgpack.packb([2, [[name, weights] for name in names]]))
+    row = model.encode()
+    assert 35_000 < len(row) <= MAX_ROW_BYTES
+    successor = InterferenceModel()
+    successor.load(row)
+    assert successor.weight("serving-3", "image-99") == pytest.approx(11.9)
+    assert "image-0" not in successor.describe()["serving-3"]
