Store of a job's progress only what is not done, on pages

Cause: the progress row has each task of each occurrence that was ever due, done or not. It grows until the store answers 400 (RowBytes, 65,536). All tasks stayed in memory and were searched at each end, and all occurrences in each pass. Change: done tasks and occurrences are dropped and follow from the numbers added so far; tasks that were never placed are ranges. A row above 48,000 bytes is split into 2, 4 or 8 pages (`progress/ID/PAGE`, a job id has no slash); the row and its changed pages are one transaction. At most 8,192 undone tasks of a step exist (gangs and long-running steps: all), and a scheduled job adds occurrences up to as many tasks. A job that does not fit into 8 pages fails with code 6010, in the log, the row, and `Error` beside `State`. Rows of earlier releases are read; earlier releases can't read the new ones. Ruled out: done tasks as bitmaps (they grow with the job, too); pages filled one after the other (a change in the first shifts all); pages in several transactions (what is done follows from all pages together).

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
@@ -20,7 +20,7 @@
     RelayedRow,
 )
 from pollenkeel_jobs.core.metrics import JOBS_SUBMITTED
-from pollenkeel_jobs.core.model import JobSpec, JobStatus
+from pollenkeel_jobs.core.model import JobSpec, JobState, JobStatus
 from pollenkeel_jobs.core.names import (
     CANCELS,
     JOBS,
@@ -28,7 +28,7 @@
     PROGRESS,
     get_intake_partition,
 )
-from pollenkeel_jobs.core.records import RecordError, decode_status, encode_job
+from pollenkeel_jobs.core.records import RecordError, decode_state, encode_job
 from pollenkeel_jobs.core.tables import (
     TableService,
 )
@@ -152,15 +152,21 @@
 
     def find_status(self, job_id: str) -> Result[JobStatus | None, Refusal]:
         """Return the recorded status of a job, or None if there is no such job."""
+        return self.find_state(job_id).map(
+            lambda state: state.status if state else None
+        )
+
+    def find_state(self, job_id: str) -> Result[JobState | None, Refusal]:
+        """Return the recorded state of a job, or None if there is no such job."""
         reply = self._contact.ask(
             JobQuery(self._name, self._clock.now(), job_id), _QUERY_SECONDS
         )
         if isinstance(reply, JobQueryReply) and reply.status:
-            return Ok(JobStatus(reply.status))
-        return self._read_status(job_id)
+            return Ok(JobState.parse(reply.status))
+        return self._read_state(job_id)
 
-    def _read_status(self, job_id: str) -> Result[JobStatus | None, Refusal]:
-        """Return a job's status from its progress row, else from its job row."""
+    def _read_state(self, job_id: str) -> Result[JobState | None, Refusal]:
+        """Return a job's state from its progress row, else from its job row."""
         for partition, table in (
             (LEADER_PARTITION, PROGRESS),
             (get_intake_partition(job_id), JOBS),
@@ -172,9 +178,9 @@
             if row is None or row.value is None:
                 continue
             if table == JOBS:
-                return Ok(JobStatus.QUEUED)
+                return Ok(JobState(JobStatus.QUEUED))
             try:
-                return Ok(decode_status(row.value))
+                return Ok(decode_state(row.value))
             except RecordError as error:
                 return Err(Refusal(Code.INTERNAL, str(error)))
         return Ok(None)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable, Iterator
 
 import logbook
@@ -23,6 +24,12 @@
 
 #: Seconds for which ended jobs are kept in memory.
 _RETENTION_SECONDS = 600.0
+#: Number of existing tasks of a scheduled job from which its next occurrence waits, so
+#: that many overdue occurrences do not all exist at the same time.
+_MAX_OPEN_TASKS = 8_192
+#: Seconds for which an occurrence with a gang is kept after its end. Until then the
+#: members are removed from their VMs as their runs end.
+_GANG_RETENTION_SECONDS = 10.0
 
 
 class JobTable:
@@ -49,6 +56,8 @@
         self._ended_at_by_id: dict[str, float] = {}
         self._scheduled_jobs: dict[Job, None] = {}
         self._cancelled_at_by_id: dict[str, float] = {}
+        # End, job and number of the occurrences that are kept because of a gang.
+        self._ended_gangs: deque[tuple[float, Job, int]] = deque()
         self.ready: dict[Task, None] = {}
         self.dirty: dict[Job, None] = {}
 
@@ -134,20 +143,42 @@
     def add_due_occurrences(self) -> None:
         """Create the tasks of the occurrences that are due."""
         now = self._clock.now()
+        while self._ended_gangs and self._ended_gangs[0][0] < now:
+            _, job, occurrence = self._ended_gangs.popleft()
+            job.drop_occurrence(occurrence)
         for job in list(self._scheduled_jobs):
-            for occurrence in range(job.spec.occurrences):
-                if job.spec.due_at(occurrence) > now:
-                    break
-                if not job.has_occurrence(occurrence):
-                    job.add_occurrence(occurrence)
-                    self.refresh_ready(job)
-            else:
-                del self._scheduled_jobs[job]
+            self._add_due_occurrences_of(job, now)
+
+    def _add_due_occurrences_of(self, job: Job, now: float) -> None:
+        spec = job.spec
+        tasks = 0
+        while (
+            job.next_occurrence < spec.occurrences
+            and spec.due_at(job.next_occurrence) <= now
+        ):
+            tasks = tasks or sum(map(len, job.tasks_by_step.values()))
+            if tasks >= _MAX_OPEN_TASKS:
+                return
+            occurrence = job.next_occurrence
+            job.add_occurrence(occurrence)
+            tasks += sum(map(len, job.list_steps(occurrence)))
+            self._refresh_occurrence(job, occurrence)
+        if job.next_occurrence >= spec.occurrences:
+            del self._scheduled_jobs[job]
 
     def refresh_ready(self, job: Job) -> None:
         """Make the waiting tasks ready whose preceding steps are done."""
-        for task in job.tasks():
-            if task.state is TaskState.WAITING and job.is_ready(task):
+        for occurrence in dict.fromkeys(key[0] for key in job.tasks_by_step):
+            self._refresh_occurrence(job, occurrence)
+
+    def _refresh_occurrence(self, job: Job, occurrence: int) -> None:
+        for tasks in job.list_steps(occurrence):
+            if job.is_ready(tasks):
+                self._make_all_ready(tasks)
+
+    def _make_all_ready(self, tasks: Iterable[Task]) -> None:
+        for task in tasks:
+            if task.state is TaskState.WAITING:
                 self.make_ready(task)
 
     def make_ready(self, task: Task) -> None:
@@ -181,15 +212,30 @@
 
     def finish_task(self, task: Task) -> None:
         """Mark a task as done; of a gang, all members."""
-        job = task.job
+        job, occurrence = task.job, task.key.occurrence
+        tasks = job.tasks_by_step[occurrence, task.key.step]
         for member in list_step_tasks(task) if task.step.gang else [task]:
             member.state = TaskState.DONE
             self.ready.pop(member, None)
+        if not task.step.gang:
+            tasks.drop(task)
+            self._make_all_ready(tasks.create_next())
         self.dirty[job] = None
+        if not tasks.is_done:
+            return
+        self._refresh_occurrence(job, occurrence)
+        if job.is_occurrence_done(occurrence):
+            self._end_occurrence(job, occurrence)
+
+    def _end_occurrence(self, job: Job, occurrence: int) -> None:
+        """Drop an occurrence that is done, and end its job if that is done, too."""
+        if any(step.gang for step in job.spec.steps):
+            kept_until = self._clock.now() + _GANG_RETENTION_SECONDS
+            self._ended_gangs.append((kept_until, job, occurrence))
+        else:
+            job.drop_occurrence(occurrence)
         if job.is_done():
             self.finish(job, JobStatus.DONE)
-        elif job.is_step_done(task.key.occurrence, task.key.step):
-            self.refresh_ready(job)
 
     def finish(self, job: Job, status: JobStatus) -> None:
         """End a job with the given status."""
@@ -218,13 +264,6 @@
         if status is JobStatus.DONE and objective > 0:
             JOB_OBJECTIVE_RATIO.labels(queue).observe(seconds / objective)
 
-    def pop_dirty(self, max_jobs: int) -> list[Job]:
-        """Remove and return up to ``max_jobs`` jobs to record next."""
-        jobs = list(self.dirty)[:max_jobs]
-        for job in jobs:
-            del self.dirty[job]
-        return jobs
-
     def forget_old(self) -> list[str]:
         """Drop the jobs whose retention period is over and return their ids."""
         limit = self._clock.now() - _RETENTION_SECONDS
@@ -239,5 +278,5 @@
 
 
 def list_step_tasks(task: Task) -> list[Task]:
-    """Return all tasks of the given task's step and occurrence."""
-    return task.job.tasks_by_step[task.key.occurrence, task.key.step]
+    """Return the existing tasks of the given task's step and occurrence."""
+    return list(task.job.tasks_by_step.get((task.key.occurrence, task.key.step), ()))
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -42,6 +42,7 @@
     get_intake_partition,
 )
 from pollenkeel_jobs.core.passes import OrderBatch
+from pollenkeel_jobs.core.progress_rows import join_progress_rows
 from pollenkeel_jobs.core.records import RecordError, decode_job
 from pollenkeel_jobs.core.scheduler import Scheduler
 from pollenkeel_jobs.core.tables import (
@@ -257,7 +258,7 @@
         harm = self._read_all(LEADER_PARTITION, HARM, stop)
         for row in harm.rows:
             self._harm.load(row.value or b"")
-        progress_by_id = {row.key: row.value for row in progress.rows}
+        progress_by_id = join_progress_rows(progress.rows)
         self.scheduler.load(
             (row.value or b"", progress_by_id.get(row.key)) for row in jobs.rows
         )
@@ -485,10 +486,8 @@
         if isinstance(message, RelayWrite):
             return RelayWriteReply(self.name, now, self._write_relayed(message))
         if isinstance(message, JobQuery):
-            status = (
-                self.scheduler.find_status(message.job_id) if self._loaded else None
-            )
-            return JobQueryReply(self.name, now, status.value if status else "")
+            state = self.scheduler.find_state(message.job_id) if self._loaded else None
+            return JobQueryReply(self.name, now, str(state) if state else "")
         if isinstance(message, QueueQuery):
             waiting = (
                 self.scheduler.count_waiting(message.queue) if self._loaded else -1
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, cast
 
 import attrs
@@ -13,12 +13,24 @@
     Demand,
     Job,
     JobSpec,
+    JobState,
     JobStatus,
     QueuePolicy,
     StepSpec,
+    StepTasks,
+    Task,
     TaskState,
 )
 
+#: Version of the progress rows of jobs that have not ended. Earlier rows have no
+#: version and a list of all tasks instead.
+_PROGRESS_VERSION = 2
+#: Number of fields of such a row.
+_HEAD_FIELDS = 6
+#: Number of consecutive tasks of a step, and of consecutive occurrences, that are on
+#: the same page.
+_BLOCK_SIZE = 16
+
 
 class RecordError(Exception):
     """A row cannot be decoded."""
@@ -92,7 +104,7 @@
         raise ValueError(f"{name} is {value!r:.40}; expected an integer >= {least}")
 
 
-def _decode_crashes(workers: Iterable[object] = ()) -> set[str]:
+def _decode_crashes(workers: Iterable[object]) -> set[str]:
     return {_check_text("crashed worker", worker) for worker in workers}
 
 
@@ -108,46 +120,165 @@
 
 
 def encode_progress(job: Job) -> bytes:
-    """Return the row value of a job's progress.
+    """Return a job's progress as one value, whatever its size.
 
-    The row of an ended job holds only its status and whether it was cancelled. In other
-    rows, tasks refer to their runner by its index in a list, and only tasks that may
-    have crashed workers have a list of these.
+    The value of an ended job has its status, whether it was cancelled and, if there is
+    one, the code of the error that stopped it. Other values have a list of pages, see
+    ``encode_pages``.
     """
-    if job.status.final:
-        return bytes(msgpack.packb([job.status.value, job.cancelled]))
-    runners: dict[str, int] = {}
-    steps = []
-    for (occurrence, step), tasks in job.tasks_by_step.items():
-        rows = [
-            [
-                int(task.state),
-                task.run,
-                task.failures,
-                runners.setdefault(task.runner, len(runners)),
-                task.checkpoint,
-                *([sorted(task.crashed_on)] if task.crashed_on else []),
-            ]
-            for task in tasks
-        ]
-        steps.append([occurrence, step, rows])
-    return bytes(
-        msgpack.packb(
-            [job.status.value, job.cancelled, job.started, list(runners), steps]
-        )
-    )
+    pages = [] if job.status.final else encode_pages(job, 1)
+    return encode_progress_head(job, pages)
+
+
+def encode_progress_head(job: Job, pages: int | list[bytes]) -> bytes:
+    """Return the row value of a job's progress without the tasks.
+
+    Parameters
+    ----------
+    job : Job
+        The job.
+    pages : int or list of bytes
+        Number of the pages with the tasks, or these pages if they are part of the row.
+    """
+    fields: list[object] = [job.status.value, job.cancelled]
+    if not job.status.final:
+        fields += [job.started, _PROGRESS_VERSION, job.next_occurrence, pages]
+    elif job.failure_code:
+        fields.append(job.failure_code)
+    return bytes(msgpack.packb(fields))
+
+
+def encode_pages(job: Job, count: int) -> list[bytes]:
+    """Return the tasks of a job that are not done, distributed over pages.
+
+    A page has
+
+    - a list of runners, to which tasks refer by index,
+    - the occurrences without a task that was ever placed, as ranges,
+    - a record of each step of the other occurrences: the occurrence, the step,
+      ``StepTasks.next_index``, the tasks that were never placed, as ranges, and the
+      other tasks.
+
+    A range is a first value and a length. All lower occurrences and indices that no
+    page has are done, so the pages of a job are only valid together. The place of a
+    task depends only on its key, so that a change of one task changes one page.
+    """
+    pages = [_PageEncoder() for _ in range(count)]
+    for occurrence in dict.fromkeys(key[0] for key in job.tasks_by_step):
+        first = occurrence // _BLOCK_SIZE
+        steps = job.list_steps(occurrence)
+        if all(map(_is_untouched, steps)):
+            _append_to_ranges(pages[first % count].untouched, occurrence)
+        elif not job.is_occurrence_done(occurrence):
+            for tasks in steps:
+                pages[first % count].get_record(tasks)
+                for task in tasks:
+                    block = first + task.key.index // _BLOCK_SIZE
+                    pages[block % count].add(tasks, task)
+    return [page.encode() for page in pages]
+
+
+def _is_untouched(tasks: StepTasks) -> bool:
+    """Return whether none of the tasks of a step was ever placed."""
+    return len(tasks) == tasks.next_index and not any(map(_has_progress, tasks))
+
+
+def _has_progress(task: Task) -> bool:
+    return bool(task.run or task.failures or task.checkpoint or task.crashed_on)
+
+
+def _append_to_ranges(ranges: list[int], number: int) -> None:
+    """Add the next number to a list of ranges, each a first number and a length."""
+    if ranges and ranges[-2] + ranges[-1] == number:
+        ranges[-1] += 1
+    else:
+        ranges += [number, 1]
+
+
+def _iter_ranges(ranges: list[int], end: int) -> Iterator[int]:
+    """Yield the numbers of ranges; raise ValueError unless they are below ``end``."""
+    for first, length in zip(ranges[::2], ranges[1::2], strict=True):
+        if not 0 <= first < first + length <= end:
+            raise ValueError(f"range of {length!r:.40} from {first!r:.40}")
+        yield from range(first, first + length)
+
+
+@attrs.define
+class _PageEncoder:
+    """Collects the content of one page, see ``encode_pages``."""
+
+    runners: dict[str, int] = attrs.field(factory=dict)
+    untouched: list[int] = attrs.field(factory=list)
+    records_by_step: dict[tuple[int, int], list[Any]] = attrs.field(factory=dict)
+
+    def get_record(self, tasks: StepTasks) -> list[Any]:
+        """Return the record of a step, added if needed."""
+        key = (tasks.occurrence, tasks.number)
+        record = self.records_by_step.get(key)
+        if record is None:
+            record = self.records_by_step[key] = [*key, tasks.next_index, [], []]
+        return record
+
+    def add(self, tasks: StepTasks, task: Task) -> None:
+        """Add a task unless it is done."""
+        if task.state is TaskState.DONE:
+            return
+        unplaced, rows = self.get_record(tasks)[3:]
+        if not _has_progress(task):
+            _append_to_ranges(unplaced, task.key.index)
+            return
+        runner = self.runners.setdefault(task.runner, len(self.runners))
+        row = [task.key.index, int(task.state), task.run, task.failures, runner]
+        crashes = [sorted(task.crashed_on)] if task.crashed_on else []
+        rows.append([*row, task.checkpoint, *crashes])
+
+    def encode(self) -> bytes:
+        """Return the page."""
+        records = list(self.records_by_step.values())
+        return bytes(msgpack.packb([list(self.runners), self.untouched, records]))
+
+
+def join_pages(head: bytes, pages_by_number: Mapping[int, bytes]) -> bytes:
+    """Return a job's progress as one value from its row and the rows of its pages.
+
+    Raises
+    ------
+    RecordError
+        If a page is missing.
+    """
+    try:
+        fields = msgpack.unpackb(head)
+        if len(fields) != _HEAD_FIELDS or type(fields[-1]) is not int:
+            return head
+        fields[-1] = [pages_by_number[number] for number in range(fields[-1])]
+        return bytes(msgpack.packb(fields))
+    except Exception as error:
+        raise RecordError(f"pages of progress: {error!r}") from error
 
 
 def decode_status(value: bytes) -> JobStatus:
     """Return the status in a progress row.
 
+    Raises
+    ------
+    RecordError
+        If the row is malformed.
+    """
+    return decode_state(value).status
+
+
+def decode_state(value: bytes) -> JobState:
+    """Return the state of the job in a progress row.
+
     Raises
     ------
     RecordError
         If the row is malformed.
     """
     try:
-        return JobStatus(msgpack.unpackb(value)[0])
+        fields = msgpack.unpackb(value)
+        status = JobStatus(fields[0])
+        return JobState(status, int(fields[2]) if fields[2:] and status.final else 0)
     except Exception as error:
         raise RecordError(f"progress row: {error}") from error
 
@@ -170,20 +301,84 @@
     job.status = job.recorded_status = JobStatus(fields[0])
     job.cancelled = bool(fields[1])
     if job.status.final:
+        if fields[2:]:
+            _check_count("failure code", fields[2], 0)
+            job.failure_code = fields[2]
         return
-    job.started, runners, steps = fields[2:]
+    if isinstance(fields[3], list):
+        job.started, runners, steps = fields[2:]
+        _apply_steps_without_version(job, runners, steps)
+    else:
+        job.started, version, job.next_occurrence, pages = fields[2:]
+        if version != _PROGRESS_VERSION:
+            raise ValueError(f"version {version!r:.40}; expected {_PROGRESS_VERSION}")
+        _apply_pages(job, pages)
+        # All pages are written again at the first change.
+        job.page_digests = (0,) * len(pages) if len(pages) > 1 else ()
+    for tasks in job.tasks_by_step.values():
+        tasks.create_next()
+
+
+def _apply_pages(job: Job, pages: list[bytes]) -> None:
+    _check_count("next occurrence", job.next_occurrence, 0)
+    for page in pages:
+        runners, untouched, records = msgpack.unpackb(page)
+        for occurrence in _iter_ranges(untouched, job.next_occurrence):
+            job.restore_occurrence(occurrence)
+        for record in records:
+            _apply_record(job, record, runners)
+
+
+def _apply_record(job: Job, record: list[Any], runners: list[str]) -> None:
+    occurrence, step, next_index, unplaced, rows = record
+    if not 0 <= occurrence < job.next_occurrence:
+        raise ValueError(f"occurrence {occurrence!r:.40} is not added")
+    if (occurrence, step) not in job.tasks_by_step:
+        job.restore_occurrence(occurrence)
+    tasks = job.tasks_by_step[occurrence, step]
+    if not 0 <= next_index <= tasks.spec.count:
+        raise ValueError(f"next index {next_index!r:.40} is out of range")
+    tasks.next_index = next_index
+    for index in _iter_ranges(unplaced, next_index):
+        tasks.create(index)
+    for index, *fields in rows:
+        if not 0 <= index < next_index:
+            raise ValueError(f"index {index!r:.40} is out of range")
+        _apply_task(tasks.create(index), fields, runners)
+
+
+def _apply_steps_without_version(
+    job: Job, runners: list[str], steps: list[Any]
+) -> None:
+    """Restore the steps of a row without a version, which has all tasks."""
     for occurrence, step, rows in steps:
-        if not job.has_occurrence(occurrence):
-            job.add_occurrence(occurrence)
-        for task, row in zip(job.tasks_by_step[occurrence, step], rows, strict=True):
-            state, run, failures, runner, checkpoint, *crashes = row
-            _check_count("run", run, 0)
-            _check_count("failures", failures, 0)
-            task.state = TaskState(state)
-            task.run, task.failures = run, failures
-            task.runner = _check_text("runner", runners[runner])
-            task.checkpoint = _check_text("checkpoint", checkpoint)
-            task.crashed_on = _decode_crashes(*crashes)
+        if (occurrence, step) not in job.tasks_by_step:
+            job.restore_occurrence(occurrence)
+            job.next_occurrence = max(job.next_occurrence, occurrence + 1)
+        tasks = job.tasks_by_step[occurrence, step]
+        tasks.next_index = tasks.spec.count
+        indexes = range(tasks.spec.count)
+        for index, fields in zip(indexes, rows, strict=True):
+            if fields[0] != TaskState.DONE:
+                _apply_task(tasks.create(index), fields, runners)
+    occurrences = sorted({occurrence for occurrence, _ in job.tasks_by_step})
+    if occurrences != list(range(job.next_occurrence)):
+        raise ValueError("an occurrence is missing")
+    for occurrence in occurrences:
+        if job.is_occurrence_done(occurrence):
+            job.drop_occurrence(occurrence)
+
+
+def _apply_task(task: Task, fields: list[Any], runners: list[str]) -> None:
+    state, run, failures, runner, checkpoint, *crashes = fields
+    _check_count("run", run, 0)
+    _check_count("failures", failures, 0)
+    task.state = TaskState(state)
+    task.run, task.failures = run, failures
+    task.runner = _check_text("runner", runners[runner])
+    task.checkpoint = _check_text("checkpoint", checkpoint)
+    if crashes:
+        task.crashed_on = _decode_crashes(*crashes)
 
 
 def _encode_step(step: StepSpec) -> dict[str, Any]:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -31,12 +31,13 @@
     Demand,
     Job,
     JobSpec,
+    JobState,
     JobStatus,
     Task,
     TaskState,
     parse_task_id,
 )
-from pollenkeel_jobs.core.names import HARM, HARM_KEY, PROGRESS
+from pollenkeel_jobs.core.names import HARM, HARM_KEY
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.passes import OrderBatch, Pass, PlannedStart, RecordedEnds
 from pollenkeel_jobs.core.placement import LeastLoaded
@@ -47,19 +48,18 @@
     update_headroom,
     update_run,
 )
+from pollenkeel_jobs.core.progress_rows import ProgressBatch, ProgressTooLargeError
 from pollenkeel_jobs.core.ready_queue import Placed, ReadyQueue
-from pollenkeel_jobs.core.records import encode_progress
 from pollenkeel_jobs.core.speed import VmSpeeds
 from pollenkeel_jobs.core.stops import StopOrderQueue
 from pollenkeel_jobs.core.tables import RowWrite
 from pollenkeel_jobs.core.vms import Vm, make_profile
 from pollenkeel_kernel.core.clock import Clock
+from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.logs import log_change
 
 logger = logbook.Logger("scheduler")
 
-#: Maximum number of jobs whose progress is written in one transaction.
-_JOBS_PER_COMMIT = 60
 #: Seconds after its placement at which a run that the worker does not list is revoked.
 _UNLISTED_RUN_SECONDS = 1.5
 #: Seconds between two searches for tasks to migrate.
@@ -151,6 +151,15 @@
             job = self._jobs.find(job_id)
             return job.recorded_status if job else None
 
+    def find_state(self, job_id: str) -> JobState | None:
+        """Return the recorded state of a job, or None for an unknown job."""
+        with self._lock:
+            job = self._jobs.find(job_id)
+            if job is None:
+                return None
+            code = job.failure_code if job.recorded_status.final else 0
+            return JobState(job.recorded_status, code)
+
     def count_waiting(self, queue: str) -> int:
         """Return the number of unfinished jobs of a queue without a started task."""
         with self._lock:
@@ -563,14 +572,14 @@
             self._jobs.add_due_occurrences()
             self._place_ready_tasks()
             self._stop_tasks_to_migrate()
-            jobs = self._jobs.pop_dirty(_JOBS_PER_COMMIT)
+            batch = self._batch_dirty_jobs()
             # Ends are acknowledged only once the progress of all jobs is recorded.
             ends = [] if self._jobs.dirty else list(self._collect_ends())
             if self._jobs.dirty:
                 self.wake.set()
             return Pass(
-                self._make_writes(jobs),
-                {job: job.status for job in jobs},
+                self._make_writes(batch.writes),
+                {job: job.status for job in batch.jobs},
                 self._collect_orders(),
                 ends,
             )
@@ -581,14 +590,40 @@
             if vm.ended_through > vm.recorded_through:
                 yield RecordedEnds(vm, vm.incarnation, vm.ended_through)
 
-    def _make_writes(self, jobs: list[Job]) -> tuple[RowWrite, ...]:
-        writes = [
-            RowWrite(PROGRESS, job.spec.job_id, encode_progress(job)) for job in jobs
-        ]
+    def _batch_dirty_jobs(self) -> ProgressBatch:
+        """Return the rows of jobs that fit into one transaction."""
+        batch = ProgressBatch()
+        for job in list(self._jobs.dirty):
+            try:
+                fits = batch.add(job)
+            except ProgressTooLargeError as error:
+                self._stop_unrecordable(job, str(error))
+                fits = batch.add(job)
+            if not fits:
+                break
+            del self._jobs.dirty[job]
+        return batch
+
+    def _stop_unrecordable(self, job: Job, cause: str) -> None:
+        logger.error(
+            "job failed because its progress cannot be recorded",
+            extra={
+                "job": job.spec.job_id,
+                "code": Code.PROGRESS_NOT_RECORDED.value,
+                "cause": cause,
+            },
+        )
+        if not job.status.final:
+            job.failure_code = Code.PROGRESS_NOT_RECORDED.value
+            self._finish(job, JobStatus.FAILED)
+
+    def _make_writes(self, writes: list[RowWrite]) -> tuple[RowWrite, ...]:
+        """Return the rows of jobs and, from time to time, the learned weights."""
         now = self._clock.now()
         if writes and now >= self._next_weights_write_at:
             self._next_weights_write_at = now + _WEIGHTS_WRITE_INTERVAL
-            writes.append(RowWrite(HARM, HARM_KEY, self._interference.encode()))
+            row = RowWrite(HARM, HARM_KEY, self._interference.encode())
+            writes = [*writes, row]
             log_interference(self._interference, self._fleet.vms())
         return tuple(writes)
 
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/codes.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/codes.py
@@ -78,6 +78,7 @@
     WORKER_QUARANTINED = 6007
     WAITING_FOR_CAPACITY = 6008
     OVER_QUOTA = 6009
+    PROGRESS_NOT_RECORDED = 6010
 
     INTERNAL = 9000
 
@@ -150,6 +151,7 @@
     Code.WORKER_QUARANTINED: "the worker failed too many tasks in a row",
     Code.WAITING_FOR_CAPACITY: "no VM has enough free capacity now",
     Code.OVER_QUOTA: "the team has used its quota",
+    Code.PROGRESS_NOT_RECORDED: "the progress of the job does not fit into the store",
     Code.INTERNAL: "unexpected error; see the log of the process",
 }
 
