Fail only the job whose row the store rejects, not the leader's term

Cause: a pass is one transaction, and a leader that gets 400 for it gives up its lease, since a retry would send the same. The next leader loads the same job and ends at its first write, too. Change: a rejected pass is written in halves, until only the rejected rows remain; the rows of a job stay together. A lease without rows is then written: if that is rejected, too, the term ends as before, so that a fault of the store fails no jobs. A job whose rows are rejected fails with code 6010. Its starts of the pass aren't sent, and no ends are acknowledged with the pass. Rejected weights are logged and left out. Ruled out: a check of the sizes alone (the store has other reasons for 400), and one write for each job after a rejection (60 writes instead of about 12). Left: if even the row of the ended job is rejected (some 20 bytes and deletions), that is logged, and its ends are acknowledged with the next pass. Tests: test_rejected_rows.py. Without the change four of its six fail: three with LeadershipLost "status 400", one for want of `reject_progress`. Now all pass. Run: make lint types; pytest packages/pollenkeel-jobs platform -n 2, all passed.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -14,6 +14,7 @@
 from result import Err
 
 from pollenkeel_jobs.core.advice import AdviceService
+from pollenkeel_jobs.core.commits import commit_rows
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.leadership import Leadership, LeadershipLost
 from pollenkeel_jobs.core.messages import (
@@ -309,7 +310,10 @@
         current = self.scheduler.plan()
         if current.writes:
             with COMMIT_SECONDS.time():
-                self.leadership.commit(current.writes)
+                for rejected in commit_rows(self.leadership, current.writes):
+                    self.scheduler.reject_progress(
+                        current, rejected.job_id, rejected.cause
+                    )
         else:
             self.leadership.renew()
         self.scheduler.confirm(current)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -377,11 +377,31 @@
             is stopping, or if the table service rejected the transaction as invalid: a
             retry would send the same transaction.
         """
+        result = self.try_commit(writes)
+        if isinstance(result, Err):
+            self.epoch = 0
+            raise LeadershipLost(result.err_value.detail)
+
+    def try_commit(self, writes: tuple[RowWrite, ...]) -> Result[None, Failure]:
+        """Do the same as ``commit``, but keep the lease if the rows are rejected.
+
+        Returns
+        -------
+        Result[None, Failure]
+            The failure if the table service rejected the transaction as invalid. It has
+            had no effect then.
+
+        Raises
+        ------
+        LeadershipLost
+            If another process has acquired the lease, or if this one has given it up or
+            is stopping.
+        """
         with self._lock:
             record = LeaseRecord(
                 self.epoch, self._holder, self._address, self._next_write()
             )
-            self._commit(record, writes)
+            return self._commit(record, writes)
 
     def renew(self) -> None:
         """Renew the lease unless a recent transaction has already done so."""
@@ -402,7 +422,9 @@
         self._writes += 1
         return self._writes
 
-    def _commit(self, record: LeaseRecord, writes: tuple[RowWrite, ...]) -> None:
+    def _commit(
+        self, record: LeaseRecord, writes: tuple[RowWrite, ...]
+    ) -> Result[None, Failure]:
         while not self._stopped.is_set():
             if self.epoch == 0:
                 raise LeadershipLost("the lease was given up")
@@ -417,9 +439,11 @@
                 if self._failing_since:
                     self._failing_since = 0.0
                     log_change(logger, "table service accepts writes again")
-                return
+                return Ok(None)
             failure = result.err_value
-            if failure.kind in (FailureKind.CONFLICT, FailureKind.INVALID):
+            if failure.kind is FailureKind.INVALID:
+                return Err(failure)
+            if failure.kind is FailureKind.CONFLICT:
                 self.epoch = 0
                 raise LeadershipLost(failure.detail or failure.kind.value)
             if not self._failing_since:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -617,6 +617,20 @@
             job.failure_code = Code.PROGRESS_NOT_RECORDED.value
             self._finish(job, JobStatus.FAILED)
 
+    def reject_progress(self, rejected_pass: Pass, job_id: str, cause: str) -> None:
+        """End a job whose rows in a pass were rejected by the table service.
+
+        Its starts in the pass are not sent, and no ends are acknowledged with the pass.
+        If the rejected rows are those of an ended job, they are not written again.
+        """
+        with self._lock:
+            rejected_pass.ends.clear()
+            job = self._jobs.find(job_id)
+            if job is not None:
+                rejected_pass.statuses_by_job.pop(job, None)
+                self._stop_unrecordable(job, cause)
+        self.wake.set()
+
     def _make_writes(self, writes: list[RowWrite]) -> tuple[RowWrite, ...]:
         """Return the rows of jobs and, from time to time, the learned weights."""
         now = self._clock.now()
