Pause the garbage collector while a new leader loads the jobs

Cause: of the time to load 10,000 jobs, two thirds went into cyclic collections, which visit all tasks loaded so far and free nothing. Ruled out: the decoding itself (a profile of 2,000 jobs shows the time where objects are created, in lines that do little else).

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -13,6 +13,7 @@
 import logbook
 
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketCache
+from pollenkeel_jobs.core.collection import paused_collection
 from pollenkeel_jobs.core.crashes import TRIAL_SECONDS, record_crash
 from pollenkeel_jobs.core.fleet import Fleet
 from pollenkeel_jobs.core.interference_model import InterferenceModel
@@ -118,7 +119,7 @@
         rows : iterable of (bytes, bytes or None)
             Row of each job and of its progress, if there is one.
         """
-        with self._lock:
+        with self._lock, paused_collection():
             for task in self._jobs.load(rows):
                 self._fleet.add_orphan(task)
 
