--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -14,6 +14,7 @@
 from result import Err
 
 from pollenkeel_jobs.core.advice import AdviceService
+from pollenkeel_jobs.core.commits import commit_rows
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.leadership import Leadership, LeadershipLost
 from pollenkeel_jobs.core.messages import (
@@ -42,6 +43,7 @@
     get_intake_partition,
 )
 from pollenkeel_jobs.core.passes import OrderBatch
+from pollenkeel_jobs.core.progress_rows import join_progress_rows
 from pollenkeel_jobs.core.records import RecordError, decode_job
 from pollenkeel_jobs.core.scheduler import Scheduler
 from pollenkeel_jobs.core.tables import (
@@ -257,7 +259,7 @@
         harm = self._read_all(LEADER_PARTITION, HARM, stop)
         for row in harm.rows:
             self._harm.load(row.value or b"")
-        progress_by_id = {row.key: row.value for row in progress.rows}
+        progress_by_id = join_progress_rows(progress.rows)
         self.scheduler.load(
             (row.value or b"", progress_by_id.get(row.key)) for row in jobs.rows
         )
@@ -308,7 +310,10 @@
         current = self.scheduler.plan()
         if current.writes:
             with COMMIT_SECONDS.time():
-                self.leadership.commit(current.writes)
+                for rejected in commit_rows(self.leadership, current.writes):
+                    self.scheduler.reject_progress(
+                        current, rejected.job_id, rejected.cause
+                    )
         else:
             self.leadership.renew()
         self.scheduler.confirm(current)
@@ -489,10 +494,8 @@
         if isinstance(message, RelayWrite):
             return RelayWriteReply(self.name, now, self._write_relayed(message))
         if isinstance(message, JobQuery):
-            status = (
-                self.scheduler.find_status(message.job_id) if self._loaded else None
-            )
-            return JobQueryReply(self.name, now, status.value if status else "")
+            state = self.scheduler.find_state(message.job_id) if self._loaded else None
+            return JobQueryReply(self.name, now, str(state) if state else "")
         if isinstance(message, QueueQuery):
             waiting = (
                 self.scheduler.count_waiting(message.queue) if self._loaded else -1
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -13,6 +13,7 @@
 import logbook
 
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketCache
+from pollenkeel_jobs.core.collection import paused_collection
 from pollenkeel_jobs.core.crashes import (
     TRIAL_SECONDS,
     record_crash,
@@ -35,12 +36,13 @@
     Demand,
     Job,
     JobSpec,
+    JobState,
     JobStatus,
     Task,
     TaskState,
     parse_task_id,
 )
-from pollenkeel_jobs.core.names import HARM, HARM_KEY, PROGRESS
+from pollenkeel_jobs.core.names import HARM, HARM_KEY
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.passes import (
     OrderBatch,
@@ -58,8 +60,8 @@
     update_headroom,
     update_run,
 )
+from pollenkeel_jobs.core.progress_rows import ProgressBatch, ProgressTooLargeError
 from pollenkeel_jobs.core.ready_queue import Placed, ReadyQueue
-from pollenkeel_jobs.core.records import encode_progress
 from pollenkeel_jobs.core.report_log import (
     is_cut,
     log_cut_lists,
@@ -73,12 +75,11 @@
 from pollenkeel_jobs.core.tables import RowWrite
 from pollenkeel_jobs.core.vms import Vm, make_profile
 from pollenkeel_kernel.core.clock import Clock
+from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.logs import log_change
 
 logger = logbook.Logger("scheduler")
 
-#: Maximum number of jobs whose progress is written in one transaction.
-_JOBS_PER_COMMIT = 60
 #: Seconds after its placement at which a run that the worker does not list is revoked.
 _UNLISTED_RUN_SECONDS = 1.5
 #: Seconds after a refused start during which other VMs are preferred. Until the next
@@ -147,7 +148,7 @@
         rows : iterable of (bytes, bytes or None)
             Row of each job and of its progress, if there is one.
         """
-        with self._lock:
+        with self._lock, paused_collection():
             for task in self._jobs.load(rows):
                 self._fleet.add_orphan(task)
 
@@ -180,6 +181,15 @@
             job = self._jobs.find(job_id)
             return job.recorded_status if job else None
 
+    def find_state(self, job_id: str) -> JobState | None:
+        """Return the recorded state of a job, or None for an unknown job."""
+        with self._lock:
+            job = self._jobs.find(job_id)
+            if job is None:
+                return None
+            code = job.failure_code if job.recorded_status.final else 0
+            return JobState(job.recorded_status, code)
+
     def count_waiting(self, queue: str) -> int:
         """Return the number of unfinished jobs of a queue without a started task."""
         with self._lock:
@@ -578,14 +588,14 @@
             self._place_ready_tasks()
             self._stop_tasks_to_migrate()
             self._stop_preempted_tasks()
-            jobs = self._jobs.pop_dirty(_JOBS_PER_COMMIT)
+            batch = self._batch_dirty_jobs()
             # Ends are acknowledged only once the progress of all jobs is recorded.
             ends = [] if self._jobs.dirty else list(self._collect_ends())
             if self._jobs.dirty:
                 self.wake.set()
             return Pass(
-                self._make_writes(jobs),
-                {job: job.status for job in jobs},
+                self._make_writes(batch.writes),
+                {job: job.status for job in batch.jobs},
                 self._collect_orders(),
                 ends,
             )
@@ -596,14 +606,54 @@
             if vm.ended_through > vm.recorded_through:
                 yield RecordedEnds(vm, vm.incarnation, vm.ended_through)
 
-    def _make_writes(self, jobs: list[Job]) -> tuple[RowWrite, ...]:
-        writes = [
-            RowWrite(PROGRESS, job.spec.job_id, encode_progress(job)) for job in jobs
-        ]
+    def _batch_dirty_jobs(self) -> ProgressBatch:
+        """Return the rows of jobs that fit into one transaction."""
+        batch = ProgressBatch()
+        for job in list(self._jobs.dirty):
+            try:
+                fits = batch.add(job)
+            except ProgressTooLargeError as error:
+                self._stop_unrecordable(job, str(error))
+                fits = batch.add(job)
+            if not fits:
+                break
+            del self._jobs.dirty[job]
+        return batch
+
+    def _stop_unrecordable(self, job: Job, cause: str) -> None:
+        logger.error(
+            "job failed because its progress cannot be recorded",
+            extra={
+                "job": job.spec.job_id,
+                "code": Code.PROGRESS_NOT_RECORDED.value,
+                "cause": cause,
+            },
+        )
+        if not job.status.final:
+            job.failure_code = Code.PROGRESS_NOT_RECORDED.value
+            self._finish(job, JobStatus.FAILED)
+
+    def reject_progress(self, rejected_pass: Pass, job_id: str, cause: str) -> None:
+        """End a job whose rows in a pass were rejected by the table service.
+
+        Its starts in the pass are not sent, and no ends are acknowledged with the pass.
+        If the rejected rows are those of an ended job, they are not written again.
+        """
+        with self._lock:
+            rejected_pass.ends.clear()
+            job = self._jobs.find(job_id)
+            if job is not None:
+                rejected_pass.statuses_by_job.pop(job, None)
+                self._stop_unrecordable(job, cause)
+        self.wake.set()
+
+    def _make_writes(self, writes: list[RowWrite]) -> tuple[RowWrite, ...]:
+        """Return the rows of jobs and, from time to time, the learned weights."""
         now = self._clock.now()
         if writes and now >= self._next_weights_write_at:
             self._next_weights_write_at = now + _WEIGHTS_WRITE_INTERVAL
-            writes.append(RowWrite(HARM, HARM_KEY, self._interference.encode()))
+            row = RowWrite(HARM, HARM_KEY, self._interference.encode())
+            writes = [*writes, row]
             log_interference(self._interference, self._fleet.vms())
         return tuple(writes)
 
--- a/packages/pollenkeel-jobs/tests/core/test_scheduler.py
+++ b/packages/pollenkeel-jobs/tests/core/test_scheduler.py
@@ -541,11 +541,9 @@
     job = make_job(steps=(GANG,))
     site.scheduler.add_job(job)
     site.step()
-    fields = msgpack.unpackb(site.rows_by_key[PROGRESS, "j1"])
-    for row, checkpoint in zip(
-        fields[4][0][2], ("", "saved-1", "saved-2"), strict=True
-    ):
-        row[0], row[4] = int(TaskState.WAITING), checkpoint
+    waiting = int(TaskState.WAITING)
+    rows = [[waiting, 1, 0, 0, saved] for saved in ("", "saved-1", "saved-2")]
+    fields = ["running", False, True, ["vm-0/w~1"], [[0, 0, rows]]]
     successor = Site(clock, vms=3, cpu=1000)
     successor.scheduler.load([(encode_job(job), msgpack.packb(fields))])
     orders = _collect_starts(successor)
