Correct a comment on the clocks of workers, and give a pause in a test its reason

An announcement from the future no longer hides later ones, since the worker itself confirms its incarnation. An import fits on one line. No change of behaviour or of a check.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -22,10 +22,7 @@
     VmReport,
     VmReportReply,
 )
-from pollenkeel_jobs.core.metrics import (
-    FILLING_CORES,
-    SERVING_PRESSURE,
-)
+from pollenkeel_jobs.core.metrics import FILLING_CORES, SERVING_PRESSURE
 from pollenkeel_jobs.core.pacing import Pace
 from pollenkeel_jobs.core.worker import (
     Worker,
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/announcements.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/announcements.py
@@ -14,8 +14,7 @@
 
 logger = logbook.Logger("agent")
 
-#: Largest difference by which the clock of a worker may be ahead, in seconds. A start
-#: time further in the future would make all later announcements out of date.
+#: Largest difference by which the clock of a worker may be ahead, in seconds.
 _MAX_CLOCK_AHEAD_SECONDS = 3600.0
 #: Number of incarnations whose announcement waits for the worker's answer; beyond that
 #: the oldest is dropped.
--- a/tests/proofs/test_other_writers.py
+++ b/tests/proofs/test_other_writers.py
@@ -25,6 +25,7 @@
         site.wait_for_state("meanwhile", "running")
         for _ in range(REPEATS):
             site.send_foreign_heartbeats(0, name)
+            # Spreads the heartbeats over several polls; no result waits for it.
             time.sleep(INTERVAL_SECONDS)
         site.wait_for_state("meanwhile", "done")
         site.submit("after", STEPS, "run 1.0")
