Give the tests of the agent one double of its worker

Two test files had a WorkerDouble each, with unlike failures, and two copies of the fixtures and of the orders. The checks are the same; the tests of the jobs package pass.

--- a/packages/pollenkeel-jobs/tests/core/test_announcements.py
+++ b/packages/pollenkeel-jobs/tests/core/test_announcements.py
@@ -2,82 +2,12 @@
 
 import attrs
 import pytest
-from result import Err, Ok
-
-from pollenkeel_jobs.core.agent import VmAgent
-from pollenkeel_jobs.core.messages import (
-    EndedTask,
-    StartOrder,
-    TaskProfile,
-    VmOrders,
-    VmReportReply,
-)
-from pollenkeel_jobs.core.model import Demand
-from pollenkeel_jobs.core.worker import (
-    WorkerAnnouncement,
-    WorkerFailure,
-    WorkerLists,
-)
-
-EPOCH = 5
-
-
-def announce(born=1, sequence=1, service="desk", **fields):
-    """Return an announcement of the worker ``w``."""
-    fields = {"draining": False, "capacity": Demand(4000, 8000), **fields}
-    return WorkerAnnouncement(
-        "w", born, service, "z1", sequence, labels=("a",), **fields
-    )
-
-
-class WorkerDouble:
-    """Worker that answers as one incarnation and keeps the calls of ``hold``."""
-
-    def __init__(self):
-        self.worker_id, self.born = "w", 1
-        self.answers = True
-        self.lists = WorkerLists(1.0, [], [])
-        self.holds = []
-
-    def hold(self, order, deadline, recorded_through, wait):
-        self.holds.append((order.born, deadline, recorded_through))
-        if not self.answers:
-            return Err(WorkerFailure(True, "connection refused"))
-        if order.worker_id != self.worker_id:
-            return Err(WorkerFailure(True, "421", True))
-        if order.born != self.born:
-            return Err(WorkerFailure(False, "another incarnation", True, self.born))
-        return Ok(self.lists)
-
-    def start(self, order, start, payload, deadline):
-        return Ok(None)
+from agent_doubles import EPOCH, announce, order_starts, poll
+from result import Err
 
-
-@pytest.fixture
-def worker():
-    return WorkerDouble()
-
-
-@pytest.fixture
-def reports():
-    return []
-
-
-@pytest.fixture
-def agent(clock, worker, reports, monkeypatch):
-    """Agent whose reports go to ``reports``."""
-    agent = VmAgent("vm-1", clock, worker)
-    monkeypatch.setattr(
-        agent,
-        "_send_report",
-        lambda report, state: bool(reports.append(report)) or True,
-    )
-    return agent
-
-
-def poll(agent, times=1):
-    for _ in range(times):
-        agent._poll_worker(0.01)
+from pollenkeel_jobs.core.messages import EndedTask, VmReportReply
+from pollenkeel_jobs.core.model import Demand
+from pollenkeel_jobs.core.worker import WorkerFailure, WorkerLists
 
 
 def send_services(agent, version, *services):
@@ -200,10 +130,8 @@
     poll(agent)
     worker.born = 2
     poll(agent, 2)
-    incarnation = agent._tracker.get_vm_incarnation(agent._tracker.state)
-    start = StartOrder("j.0.0.0", 1, TaskProfile("j.0.0.0"), "", "")
-    orders = VmOrders("e", 0.0, EPOCH, "tcp://127.0.0.1:1", incarnation, 0.0, [start])
-    assert [outcome.outcome for outcome in agent.handle(orders).outcomes] == ["refused"]
+    outcomes = order_starts(agent, "j.0.0.0")
+    assert [outcome.outcome for outcome in outcomes] == ["refused"]
 
 
 @pytest.mark.parametrize("failure", ["exception", "400"])
--- a/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
@@ -4,27 +4,14 @@
 
 import attrs
 import pytest
+from agent_doubles import LISTED_AT, order_starts, poll, restart
 from jobs_doubles import Site, make_job
-from result import Err, Ok
-
-from pollenkeel_jobs.core.agent import VmAgent
-from pollenkeel_jobs.core.messages import (
-    EndedTask,
-    RunKey,
-    StartOrder,
-    TaskProfile,
-    VmOrders,
-    WorkerCrash,
-)
+
+from pollenkeel_jobs.core.messages import EndedTask, RunKey, WorkerCrash
 from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
 from pollenkeel_jobs.core.names import PROGRESS
 from pollenkeel_jobs.core.records import encode_job
-from pollenkeel_jobs.core.worker import (
-    Worker,
-    WorkerAnnouncement,
-    WorkerFailure,
-    WorkerLists,
-)
+from pollenkeel_jobs.core.worker import WorkerLists
 
 #: Starts of a task that crashes each worker, as promised to the operators: three
 #: crashes, and fewer than three starts after the third.
@@ -295,93 +282,24 @@
     assert site.running == ["j1.0.0.0"]
 
 
-class WorkerDouble(Worker):
-    """Worker that rejects the starts in ``rejected`` and lists ``ended``."""
-
-    def __init__(self):
-        self.rejected = set()
-        self.ended = []
-        self.answers = True
-        self.listens = True
-        self.born = 1
-
-    def start(self, order, start, payload, deadline):
-        rejected = start.task_id in self.rejected
-        return Err(WorkerFailure(True, "room")) if rejected else Ok(None)
-
-    def stop(self, order, task_id, run):
-        return Ok(None)
-
-    def hold(self, order, deadline, recorded_through, wait):
-        if not self.answers:
-            return Err(WorkerFailure(not self.listens, "connection failed"))
-        if order.born != self.born:
-            return Err(WorkerFailure(False, "another incarnation", True, self.born))
-        return Ok(WorkerLists(1.0, [], list(self.ended)))
-
-    def pace(self, order, task_id, run, percent):
-        return Ok(None)
-
-
-@pytest.fixture
-def worker():
-    return WorkerDouble()
-
-
-@pytest.fixture
-def reports():
-    return []
-
-
-@pytest.fixture
-def agent(clock, worker, reports, monkeypatch):
-    """Agent of a VM with a worker; its reports go to ``reports``."""
-    agent = VmAgent("vm-1", clock, worker)
-    monkeypatch.setattr(
-        agent,
-        "_send_report",
-        lambda report, state: bool(reports.append(report)) or True,
-    )
-    restart(agent, worker, 1)
-    return agent
-
-
-def restart(agent, worker, born):
-    """Let the worker answer as an incarnation that announces itself to the agent."""
-    worker.born = born
-    agent.record_announcement(announce(born))
-    agent._poll_worker(0.01)
-
-
-def announce(born, draining=False):
-    return WorkerAnnouncement(
-        "w", born, "desk", "z1", 1, draining, Demand(4000, 8000), ()
-    )
-
-
-def order_starts(agent, *task_ids):
-    starts = [
-        StartOrder(task_id, 1, TaskProfile(task_id), "", "") for task_id in task_ids
-    ]
-    incarnation = agent._tracker.get_vm_incarnation(agent._tracker.state)
-    agent.handle(VmOrders("e", 0.0, 5, "tcp://127.0.0.1:1", incarnation, 0.0, starts))
-
-
 def find_suspects(agent, reports):
-    agent._poll_worker(0.01)
+    poll(agent)
     return [[run.task_id for run in crash.suspects] for crash in reports[-1].crashes]
 
 
 def test_agent_suspects_the_runs_started_last(agent, clock, worker, reports):
     """Guards against suspicion of runs that the worker carried for long."""
+    restart(agent, worker, 1)
     order_starts(agent, "old.0.0.0")
     clock.advance(2.0)
     worker.rejected = {"rejected.0.0.0"}
     order_starts(agent, "ended.0.0.0", "bad.0.0.0", "rejected.0.0.0")
-    worker.ended = [EndedTask(1, "ended.0.0.0", 1, "done", "")]
-    agent._poll_worker(0.01)
+    worker.lists = WorkerLists(
+        LISTED_AT, [], [EndedTask(1, "ended.0.0.0", 1, "done", "")]
+    )
+    poll(agent)
     worker.answers = False
-    agent._poll_worker(0.01)
+    poll(agent)
     clock.advance(1.0)
     order_starts(agent, "after.0.0.0")
     worker.answers = True
@@ -391,6 +309,7 @@
 
 def test_worker_that_leaves_has_not_crashed(agent, worker, reports):
     """Guards against suspicion after a planned restart of a worker."""
+    restart(agent, worker, 1)
     order_starts(agent, "good.0.0.0")
     agent.record_departure("w")
     restart(agent, worker, 2)
@@ -400,6 +319,7 @@
 @pytest.mark.parametrize("listens", [True, False])
 def test_agent_reports_that_nothing_listens(agent, worker, reports, listens):
     """A worker that is only slow keeps its starts."""
+    restart(agent, worker, 1)
     worker.answers, worker.listens = False, listens
-    agent._poll_worker(0.01)
+    poll(agent)
     assert reports[-1].rejecting is not listens
