Let the agent check the deadline of a start before it sends it

The clock of a worker that restarts under its id begins anew, so that a deadline of the incarnation before is far ahead of it. An agent that was paused, or whose starts wait for a free thread, would pass a start on to the new incarnation seconds after the leader had given the run up, and the task would run on two VMs.

Change: the agent sends no start once the deadline has passed by its own reckoning (clock of the latest lists and the time since), nor once the worker's incarnation has been replaced. Both are refused as not run.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -193,6 +193,9 @@
         payload = message.payloads_by_job.get(start.task_id.split(".")[0], "")
         run = (start.task_id, start.run)
         with self._lock:
+            refusal = self._find_expiry_reason(state, message)
+            if refusal:
+                return OrderOutcome(start.task_id, start.run, _REFUSED, refusal)
             # A worker that does not answer may have crashed already.
             if state.answering:
                 state.starts.record(run, self._clock.now())
@@ -207,6 +210,19 @@
         self._set_initial_pace(state, order, start, message.harms)
         return OrderOutcome(start.task_id, start.run, _STARTED)
 
+    def _find_expiry_reason(self, state: WorkerState, message: VmOrders) -> str:
+        """Return why starts of a message can't be sent any more, or an empty string.
+
+        The agent may have been paused since the leader sent the message. The worker
+        checks the deadline too, but not if it has restarted meanwhile: the clock of the
+        new incarnation begins anew, and the deadline is far ahead of it.
+        """
+        if self._tracker.state is not state:
+            return "another worker"
+        if state.has_passed(message.deadline, self._clock.now()):
+            return "late"
+        return ""
+
     def _set_initial_pace(
         self,
         state: WorkerState,
@@ -301,6 +317,7 @@
             return
         lists = result.ok_value
         with self._lock:
+            state.clock, state.listed_at = lists.clock, self._clock.now()
             state.first_ended = min((e.number for e in lists.ended), default=math.inf)
             state.starts.forget((end.task_id, end.run) for end in lists.ended)
         # Only the polls of ``run`` adjust speed caps, not the one for a new leader.
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
@@ -67,6 +67,11 @@
     announced : bool
         Whether the incarnation has announced itself; otherwise only its start time is
         known.
+    clock : float
+        Time of the latest lists on the worker's clock, in milliseconds; 0 if there are
+        none yet.
+    listed_at : float
+        Time at which these lists arrived, in seconds since the Unix epoch.
     """
 
     announcement: WorkerAnnouncement
@@ -80,12 +85,28 @@
     starts: StartHistory = attrs.field(factory=StartHistory)
     answering: bool = True
     announced: bool = True
+    clock: float = 0.0
+    listed_at: float = 0.0
 
     @property
     def incarnation(self) -> str:
         """Id of the incarnation: the worker's id and start time."""
         return self.announcement.incarnation
 
+    def has_passed(self, deadline: float, now: float) -> bool:
+        """Return whether a time on the worker's clock has passed, or may have.
+
+        Parameters
+        ----------
+        deadline : float
+            Time on the worker's clock, in milliseconds.
+        now : float
+            Current time in seconds since the Unix epoch.
+        """
+        if not self.listed_at:
+            return True
+        return self.clock + (now - self.listed_at) * 1000 > deadline
+
 
 class WorkerTracker:
     """Follows the incarnations of the worker of one VM.
