Revoke a start that the worker has executed after it restarted

The agent only noted that the outcome was unknown. Until the next poll it sent further starts there, and the run kept the worker's lease of up to 6 s, although the leader, if it is cut off meanwhile, counts with the 5 s of the incarnation before and starts the task elsewhere.

Change: such an answer ends the incarnation at once, as a poll's does, and the agent revokes the run at the new one. The leader gets the revocation with the next report and places the task again. A run that the new incarnation has started is no suspect of the crash of the one before.

Evidence: two tests of test_agent_orders.py, both failed before (nothing was stopped, and all 20 starts of a message went to the new incarnation, none of which was revoked).

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -202,14 +202,29 @@
         result = self._worker.start(order, start, payload, message.deadline)
         if isinstance(result, Err):
             failure = result.err_value
-            if failure.refused:
+            if failure.refused or failure.born:
                 with self._lock:
                     state.starts.forget([run])
+            if failure.born:
+                self._revoke_at_next_incarnation(state, order, start, failure.born)
             outcome = _REFUSED if failure.refused else _UNKNOWN
             return OrderOutcome(start.task_id, start.run, outcome, failure.reason)
         self._set_initial_pace(state, order, start, message.harms)
         return OrderOutcome(start.task_id, start.run, _STARTED)
 
+    def _revoke_at_next_incarnation(
+        self, state: WorkerState, order: WorkerOrder, start: StartOrder, born: int
+    ) -> None:
+        """Stop a run that the worker has started after it restarted.
+
+        The leader has granted no lease to that incarnation and doesn't know it yet.
+        """
+        self._tracker.begin_unannounced(state, born)
+        following = self._tracker.state
+        if following is not None and following.announcement.born == born:
+            stop = StopOrder(start.task_id, start.run)
+            self._stop(following, attrs.evolve(order, born=born), stop)
+
     def _find_expiry_reason(self, state: WorkerState, message: VmOrders) -> str:
         """Return why starts of a message can't be sent any more, or an empty string.
 
--- a/packages/pollenkeel-jobs/tests/core/test_agent_orders.py
+++ b/packages/pollenkeel-jobs/tests/core/test_agent_orders.py
@@ -7,9 +7,12 @@
     LISTED_AT,
     make_orders,
     order_starts,
+    poll,
     restart,
 )
 
+from pollenkeel_jobs.core.messages import StopOrder
+
 TASK = "j.0.0.0"
 
 
@@ -47,3 +50,24 @@
     outcomes = agent._execute_orders(orders, state, "")
     assert worker.started == []
     assert [(o.outcome, o.reason) for o in outcomes] == [("refused", "another worker")]
+
+
+def test_start_that_the_next_incarnation_executes_is_revoked(agent, worker, reports):
+    """Guards against a run that the leader can't see while it starts it elsewhere."""
+    worker.born = 2
+    assert [o.outcome for o in order_starts(agent, TASK)] == ["unknown"]
+    assert worker.stopped == [(2, TASK, 1)]
+    poll(agent)
+    report = reports[-1]
+    assert (report.worker, report.state) == ("vm-1/w~2", "starting")
+    assert report.withdrawn == [StopOrder(TASK, 1)]
+    assert [crash.suspects for crash in report.crashes] == [[]]
+
+
+def test_starts_of_one_message_are_all_revoked_at_the_next_incarnation(agent, worker):
+    worker.born = 2
+    tasks = [f"j.0.0.{index}" for index in range(20)]
+    order_starts(agent, *tasks)
+    started = {task for task, _ in worker.started}
+    assert started
+    assert {task for _, task, _ in worker.stopped} == started
