Ask a worker for its incarnation before ended runs are dropped

The gap between two polls is 0.9 s long while the leader doesn't answer the report, long enough for a restart, and an answer to a stop or a speed cap that showed the restart was ignored.

Change: if the worker's last answer is older than 0.2 s it is asked without an acknowledgement first, and any answer of another incarnation ends the known one.

What remains: a restart within 0.2 s of an answer. The protocol has no call that names the incarnation, so this can be shortened and not closed.

Evidence: two tests of test_announcements.py, both failed before.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -53,6 +53,8 @@
 _RETRY_SECONDS = 0.1
 #: Minimum time between two polls of the worker, in seconds.
 _MIN_POLL_INTERVAL = 0.02
+#: Seconds after an answer of the worker within which it can't have restarted.
+_MIN_RESTART_SECONDS = 0.2
 #: Number of revoked runs that are kept per incarnation of the worker; beyond that the
 #: oldest is dropped.
 _MAX_REVOKED_RUNS = 2000
@@ -205,21 +207,20 @@
             if failure.refused or failure.born:
                 with self._lock:
                     state.starts.forget([run])
-            if failure.born:
-                self._revoke_at_next_incarnation(state, order, start, failure.born)
+            if self._check_incarnation(state, failure):
+                self._revoke_at_next_incarnation(order, start, failure.born)
             outcome = _REFUSED if failure.refused else _UNKNOWN
             return OrderOutcome(start.task_id, start.run, outcome, failure.reason)
         self._set_initial_pace(state, order, start, message.harms)
         return OrderOutcome(start.task_id, start.run, _STARTED)
 
     def _revoke_at_next_incarnation(
-        self, state: WorkerState, order: WorkerOrder, start: StartOrder, born: int
+        self, order: WorkerOrder, start: StartOrder, born: int
     ) -> None:
         """Stop a run that the worker has started after it restarted.
 
         The leader has granted no lease to that incarnation and doesn't know it yet.
         """
-        self._tracker.begin_unannounced(state, born)
         following = self._tracker.state
         if following is not None and following.announcement.born == born:
             stop = StopOrder(start.task_id, start.run)
@@ -257,6 +258,7 @@
     def _stop(self, state: WorkerState, order: WorkerOrder, stop: StopOrder) -> None:
         result = self._worker.stop(order, stop.task_id, stop.run)
         if isinstance(result, Err):
+            self._check_incarnation(state, result.err_value)
             logger.warning(
                 "worker did not confirm a stop order",
                 extra={"task": stop.task_id, "reason": result.err_value.reason},
@@ -320,8 +322,7 @@
             return
         state.answering = not isinstance(result, Err)
         if isinstance(result, Err):
-            if result.err_value.born:
-                self._tracker.begin_unannounced(state, result.err_value.born)
+            if self._check_incarnation(state, result.err_value):
                 return
             self._wake.wait(_RETRY_SECONDS)
             report = attrs.evolve(
@@ -343,18 +344,31 @@
         ):
             self._wake.wait(_RETRY_SECONDS)
 
+    def _check_incarnation(self, state: WorkerState, failure: WorkerFailure) -> bool:
+        """Replace the incarnation if another one has answered; return whether so."""
+        if failure.born:
+            self._tracker.begin_unannounced(state, failure.born)
+        return bool(failure.born)
+
     def _hold(
         self, state: WorkerState, order: WorkerOrder, seconds: float
     ) -> Result[WorkerLists, WorkerFailure]:
         """Extend the worker's lease, acknowledge ended runs and return its lists.
 
         The worker may have restarted since the last call. Its next incarnation must not
-        drop ended runs of its own by the count of this one, so nothing is acknowledged
-        after a call that failed, nor once the lists show no end up to this count.
+        drop ended runs of its own by the count of this one. So nothing is acknowledged
+        after a call that failed, nor once the lists show no end up to this count, and
+        the worker is asked for its incarnation unless it has just stated it.
         """
         acknowledges = state.answering and state.first_ended <= state.recorded_through
-        recorded_through = state.recorded_through if acknowledges else 0
-        return self._worker.hold(order, state.lease_until, recorded_through, seconds)
+        if not acknowledges:
+            return self._worker.hold(order, state.lease_until, 0, seconds)
+        if self._clock.now() - state.listed_at >= _MIN_RESTART_SECONDS:
+            current = self._worker.hold(order, state.lease_until, 0, 0.0)
+            if isinstance(current, Err):
+                return current
+        through = state.recorded_through
+        return self._worker.hold(order, state.lease_until, through, seconds)
 
     def _update_paces(
         self, state: WorkerState, order: WorkerOrder, lists: WorkerLists
@@ -379,7 +393,9 @@
     def _send_pace(self, state: WorkerState, order: WorkerOrder, pace: Pace) -> None:
         result = self._worker.pace(order, pace.task_id, pace.run, pace.percent)
         accepted = not isinstance(result, Err)
-        if accepted:
+        if isinstance(result, Err):
+            self._check_incarnation(state, result.err_value)
+        else:
             with self._lock:
                 state.pace.confirm(pace)
         log_change(
--- a/packages/pollenkeel-jobs/tests/core/test_announcements.py
+++ b/packages/pollenkeel-jobs/tests/core/test_announcements.py
@@ -2,7 +2,7 @@
 
 import attrs
 import pytest
-from agent_doubles import EPOCH, announce, order_starts, poll
+from agent_doubles import EPOCH, announce, make_orders, order_starts, poll
 from result import Err
 
 from pollenkeel_jobs.core.messages import EndedTask, VmReportReply
@@ -124,6 +124,43 @@
     assert worker.holds == [(1, 9000.0, 0), (1, 9000.0, 57)]
 
 
+def test_worker_is_asked_for_its_incarnation_before_ends_are_dropped(
+    agent, worker, clock
+):
+    """Guards against ends of a worker that restarted while the leader was silent."""
+    agent.record_announcement(announce())
+    poll(agent)
+    agent._tracker.state.lease_until = 9000.0
+    agent._tracker.state.recorded_through = 57
+    worker.lists = WorkerLists(1.0, [], [EndedTask(57, "j.0.0.0", 1, "done")])
+    poll(agent)
+    clock.advance(0.9)
+    del worker.holds[:]
+    poll(agent)
+    assert worker.holds == [(1, 9000.0, 0), (1, 9000.0, 57)]
+    clock.advance(0.9)
+    worker.born = 2
+    del worker.holds[:]
+    poll(agent)
+    assert worker.holds == [(1, 9000.0, 0)]
+
+
+def test_ends_are_not_dropped_once_any_answer_shows_a_restart(agent, worker):
+    """Guards against ends of a worker that restarted between two polls."""
+    agent.record_announcement(announce())
+    poll(agent)
+    agent._tracker.state.recorded_through = 57
+    worker.lists = WorkerLists(1.0, [], [EndedTask(57, "j.0.0.0", 1, "done")])
+    poll(agent)
+    # The agent knows the leader, so that it polls only when told.
+    agent._epoch = EPOCH
+    worker.born = 2
+    del worker.holds[:]
+    agent.handle(make_orders(agent, stops=[("j.0.0.1", 1)]))
+    poll(agent)
+    assert worker.holds == [(2, 0.0, 0)]
+
+
 def test_worker_that_has_not_announced_itself_gets_no_starts(agent, worker):
     """Guards against starts on a worker whose service and resources are unknown."""
     agent.record_announcement(announce())
