Count the end of an earlier run until the next one is sent

A VM that was silent for longer than its lease and then lists a run as done had its end dropped, although the next run was only placed, or had been refused and waited again. The task then started after an end that was acknowledged (TWICE), and its caller waited for a second run of work that was done.

Change: such an end finishes the task while no order of a later run has been sent by this leader. Once one was sent, it may run, so the later run counts as before, and its room on the VM stays reserved. Gangs and long-running tasks are left out: they end by one run of all members, and by a cancellation only.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -380,6 +380,11 @@
         self.use = 0.0
         self.ticket = ""
 
+    @property
+    def awaits_order(self) -> bool:
+        """Whether this leader has placed the task and not sent its order yet."""
+        return self.state is TaskState.PLACED and self.placed_at > 0 and not self.sent
+
     @property
     def percent(self) -> int:
         """Progress of the latest run in percent."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -421,11 +421,16 @@
         """Finish, fail or requeue a task according to how its run ended."""
         self._stops.forget(ended.task_id, ended.run)
         task = self._jobs.find_task(ended.task_id)
-        if task is None or task.run != ended.run:
+        if task is None:
             return
+        holder = vm
+        if task.run != ended.run:
+            if not _is_done_by_earlier_run(task, ended):
+                return
+            holder = self._fleet.find_by_incarnation(task.runner) or vm
         # The end may arrive after the task was requeued, for example because the
-        # worker's lease had expired. It still counts, as no newer run was placed.
-        placed_here = vm.tasks_by_id.get(ended.task_id) is task
+        # worker's lease had expired. It still counts, as no newer run has started.
+        placed_here = holder.tasks_by_id.get(ended.task_id) is task
         if not placed_here and task.state is not TaskState.WAITING:
             return
         log_change(
@@ -440,7 +445,7 @@
             use=round(task.use, 2) if task.step.fills else None,
         )
         RUNS_ENDED.labels(ended.how).inc()
-        vm.remove(task)
+        holder.remove(task)
         self._jobs.mark_started(task.job)
         store_checkpoint(task, ended.checkpoint)
         if ended.how in ("done", "failed") and not task.step.long_running:
@@ -769,3 +774,16 @@
             )
             task.stop_wanted = True
             self._stop(vm, task.task_id, task.run, now)
+
+
+def _is_done_by_earlier_run(task: Task, ended: EndedTask) -> bool:
+    """Return whether a task is done by a run that was given up before it was listed.
+
+    That is not so if a later run may have started, which is then the one that counts.
+    The members of a gang are done together, by one run.
+    """
+    if ended.how != "done" or ended.run > task.run:
+        return False
+    if task.step.long_running or task.step.gang:
+        return False
+    return task.state is TaskState.WAITING or task.awaits_order
