--- /dev/null
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -0,0 +1,260 @@
+"""Processing of the agents' reports by the leader."""
+
+from __future__ import annotations
+
+import threading
+
+import logbook
+
+from pollenkeel_jobs.core.crashes import (
+    TRIAL_SECONDS,
+    record_crash,
+    record_sound_run,
+)
+from pollenkeel_jobs.core.fleet import Fleet
+from pollenkeel_jobs.core.interference_model import InterferenceModel
+from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
+from pollenkeel_jobs.core.messages import EndedTask, VmReport
+from pollenkeel_jobs.core.metrics import RUNS_ENDED
+from pollenkeel_jobs.core.model import (
+    Demand,
+    JobStatus,
+    Task,
+    TaskState,
+    parse_task_id,
+)
+from pollenkeel_jobs.core.progress import (
+    store_checkpoint,
+    update_best_effort_use,
+    update_headroom,
+    update_run,
+)
+from pollenkeel_jobs.core.report_log import is_cut, log_cut_lists
+from pollenkeel_jobs.core.run_control import RunControl
+from pollenkeel_jobs.core.speed import VmSpeeds
+from pollenkeel_jobs.core.stalls import StallDetector
+from pollenkeel_jobs.core.vms import Vm
+from pollenkeel_kernel.core.logs import log_change
+
+logger = logbook.Logger("scheduler")
+
+#: Seconds after its placement at which a run that the worker does not list is revoked.
+_UNLISTED_RUN_SECONDS = 1.5
+
+
+class ReportProcessor:
+    """Updates jobs and VMs from what a worker lists.
+
+    Not thread-safe; the scheduler's lock protects it.
+
+    Parameters
+    ----------
+    epoch : int
+        Fencing token of the term.
+    control : RunControl
+        Stops and requeues runs, and ends jobs.
+    jobs : JobTable
+        Jobs of the runs.
+    fleet : Fleet
+        VMs that the tasks are placed on.
+    interference : InterferenceModel
+        Learns from the measurements in the reports.
+    wake : threading.Event
+        Set if a pass has something to do.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        control: RunControl,
+        jobs: JobTable,
+        fleet: Fleet,
+        interference: InterferenceModel,
+        wake: threading.Event,
+    ) -> None:
+        self._epoch = epoch
+        self._control = control
+        self._jobs = jobs
+        self._fleet = fleet
+        self._interference = interference
+        self._wake = wake
+        self._speeds = VmSpeeds()
+        self._stalls = StallDetector(self._speeds, fleet.quarantine)
+
+    def apply(self, vm: Vm, report: VmReport, now: float) -> None:
+        """Apply a report of the VM's present worker, or of its next one."""
+        vm.heard_at = now
+        if report.worker != vm.incarnation:
+            for task in self._fleet.begin_incarnation(vm, report.worker):
+                self._control.requeue(task, "worker restarted")
+        for crash in report.crashes:
+            for task in record_crash(self._jobs, crash):
+                if not task.job.status.final:
+                    self._control.finish(task.job, JobStatus.FAILED)
+        vm.service = report.service
+        vm.zone = report.zone
+        vm.capacity = report.capacity
+        vm.labels = frozenset(report.labels)
+        vm.draining = report.state == "draining"
+        vm.starting = report.state == "starting"
+        vm.rejecting = report.rejecting
+        if report.clock:
+            vm.listed_at = now
+            self._apply_run_lists(vm, report, now)
+            update_headroom(vm, report.running, self._interference, now)
+            update_best_effort_use(vm, report.running, now)
+            self._interference.observe(
+                vm.name, report.running, vm.profiles_by_task, vm.capacity.cpu, now
+            )
+
+    def _apply_run_lists(self, vm: Vm, report: VmReport, now: float) -> None:
+        """Update tasks from the runs that the worker lists.
+
+        Processes ended runs, stops runs that should not run here, and requeues lost
+        ones. What lists that are cut don't name is unknown, not lost: the rest of the
+        ended runs is listed once those before are acknowledged.
+        """
+        log_cut_lists(vm, report)
+        vm.clock = report.clock
+        vm.fenced = report.fenced_epoch == self._epoch
+        listed = {(run.task_id, run.run) for run in report.running}
+        vm.unplaced_demand = Demand()
+        vm.has_unknown_runs = False
+        for running in report.running:
+            task = vm.tasks_by_id.get(running.task_id)
+            if task is None or task.run != running.run:
+                self._count_run_not_placed_here(vm, running.task_id)
+                self._control.stop(vm, running.task_id, running.run, now)
+                continue
+            self._jobs.mark_started(task.job)
+            update_run(vm, task, running, report.paced, now)
+            self._stalls.judge(vm, task, now)
+            record_sound_run(self._jobs, vm, task)
+            if vm.trial is task and now - task.seen_at >= TRIAL_SECONDS:
+                vm.trial = None
+            if self._stalls.has_stalled(vm, task):
+                self._stalls.suspect(vm, task, now)
+            if (
+                task.state is not TaskState.PLACED
+                or task.stop_wanted
+                or task.job.status.final
+            ):
+                self._control.stop(vm, running.task_id, running.run, now)
+        for ended in sorted(report.ended, key=lambda ended: ended.number):
+            listed.add((ended.task_id, ended.run))
+            if ended.number > vm.ended_through:
+                vm.ended_through = ended.number
+                self._process_end(vm, ended, now)
+        if vm.ended_through > vm.recorded_through:
+            self._wake.set()
+        if vm.fenced and not is_cut(report):
+            withdrawn = {(stop.task_id, stop.run) for stop in report.withdrawn}
+            self._requeue_lost_runs(vm, listed, withdrawn, now)
+
+    def _count_run_not_placed_here(self, vm: Vm, task_id: str) -> None:
+        """Count the resources of a run that this scheduler did not place on the VM."""
+        parsed = parse_task_id(task_id)
+        job = self._jobs.find(parsed[0]) if parsed else None
+        if job is None or parsed is None or parsed[1].step >= len(job.spec.steps):
+            vm.has_unknown_runs = True
+        else:
+            vm.unplaced_demand += job.spec.steps[parsed[1].step].reserved
+
+    def _requeue_lost_runs(
+        self,
+        vm: Vm,
+        listed: set[tuple[str, int]],
+        withdrawn: set[tuple[str, int]],
+        now: float,
+    ) -> None:
+        """Requeue runs that the worker does not list and can no longer start.
+
+        The worker rejects a start after ``order_deadline`` and one that was revoked, as
+        listed in ``withdrawn``.
+        """
+        for task in list(vm.tasks_by_id.values()):
+            run = (task.task_id, task.run)
+            if run in listed:
+                continue
+            if run in withdrawn or vm.clock > task.order_deadline:
+                self._control.requeue(task, "not at the worker")
+            elif task.sent and now - task.placed_at > _UNLISTED_RUN_SECONDS:
+                self._control.stop(vm, task.task_id, task.run, now)
+
+    def _process_end(self, vm: Vm, ended: EndedTask, now: float) -> None:
+        """Finish, fail or requeue a task according to how its run ended."""
+        self._control.stops.forget(ended.task_id, ended.run)
+        task = self._jobs.find_task(ended.task_id)
+        if task is None:
+            return
+        holder = vm
+        if task.run != ended.run:
+            if not _is_done_by_earlier_run(task, ended):
+                return
+            holder = self._fleet.find_by_incarnation(task.runner) or vm
+        # The end may arrive after the task was requeued, for example because the
+        # worker's lease had expired. It still counts, as no newer run has started.
+        placed_here = holder.tasks_by_id.get(ended.task_id) is task
+        if not placed_here and task.state is not TaskState.WAITING:
+            return
+        log_change(
+            logger,
+            "run ended",
+            task=ended.task_id,
+            run=ended.run,
+            vm=vm.name,
+            how=ended.how,
+            seconds=round(now - task.placed_at, 3) if task.placed_at else None,
+            image=task.step.image or None,
+            use=round(task.use, 2) if task.step.fills else None,
+        )
+        RUNS_ENDED.labels(ended.how).inc()
+        holder.remove(task)
+        self._jobs.mark_started(task.job)
+        store_checkpoint(task, ended.checkpoint)
+        if ended.how in ("done", "failed") and not task.step.long_running:
+            self._record_vm_result(vm, task, ended.how == "failed", now)
+        if task.job.status.final or task.state is TaskState.DONE:
+            return
+        if ended.how == "done" and not task.step.long_running:
+            self._jobs.finish_task(task)
+            self._control.forget_tickets_if_final(task.job)
+        elif ended.how == "failed" and self._record_failure(task, vm):
+            task.state = TaskState.FAILED
+            self._control.finish(task.job, JobStatus.FAILED)
+        else:
+            self._control.requeue(task, ended.how)
+
+    def _record_vm_result(self, vm: Vm, task: Task, failed: bool, now: float) -> None:
+        """Update the worker's quarantine and the VM's slowness from an ended run."""
+        self._fleet.quarantine.record(vm.incarnation, task.job.spec.job_id, failed, now)
+        if not failed:
+            self._speeds.observe(vm, task, now)
+            self._stalls.judge_done(vm, task, now)
+
+    def _record_failure(self, task: Task, vm: Vm) -> bool:
+        """Count a failed run; return whether the attempts are used up.
+
+        The members of a gang share their attempts; long-running tasks have no limit.
+        """
+        task.failed_on.add(vm.incarnation)
+        if task.step.long_running:
+            return False
+        task.failures += 1
+        self._jobs.dirty[task.job] = None
+        members = list_step_tasks(task) if task.step.gang else [task]
+        failures = sum(member.failures for member in members)
+        return failures >= task.job.spec.queue.attempts
+
+
+def _is_done_by_earlier_run(task: Task, ended: EndedTask) -> bool:
+    """Return whether a task is done by a run that was given up before it was listed.
+
+    That is not so if a later run may have started, which is then the one that counts.
+    The members of a gang are done together, by one run.
+    """
+    if ended.how != "done" or ended.run > task.run:
+        return False
+    if task.step.long_running or task.step.gang:
+        return False
+    return task.state is TaskState.WAITING or task.awaits_order
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -1,7 +1,7 @@
 """Scheduler of the leader.
 
-Processes the agents' reports, places tasks on VMs, and returns the rows to write and
-the orders to send.
+Places tasks on VMs, and returns the rows to write and the orders to send. The agents'
+reports are processed in ``reports``.
 """
 
 from __future__ import annotations
@@ -14,23 +14,17 @@
 
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketCache
 from pollenkeel_jobs.core.collection import paused_collection
-from pollenkeel_jobs.core.crashes import (
-    TRIAL_SECONDS,
-    record_crash,
-    record_sound_run,
-)
 from pollenkeel_jobs.core.fleet import Fleet
 from pollenkeel_jobs.core.interference_model import InterferenceModel
-from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
+from pollenkeel_jobs.core.job_table import JobTable
 from pollenkeel_jobs.core.messages import (
-    EndedTask,
     InterferingPair,
     OrderOutcome,
     StartOrder,
     VmReport,
     VmReportReply,
 )
-from pollenkeel_jobs.core.metrics import RUNS_ENDED, RUNS_PLACED, WAIT_SECONDS
+from pollenkeel_jobs.core.metrics import RUNS_PLACED, WAIT_SECONDS
 from pollenkeel_jobs.core.migration import Migration
 from pollenkeel_jobs.core.model import (
     Demand,
@@ -38,9 +32,7 @@
     JobSpec,
     JobState,
     JobStatus,
-    Task,
     TaskState,
-    parse_task_id,
 )
 from pollenkeel_jobs.core.names import HARM, HARM_KEY
 from pollenkeel_jobs.core.operations import Operations
@@ -54,24 +46,15 @@
 from pollenkeel_jobs.core.placement import LeastLoaded
 from pollenkeel_jobs.core.placement_log import WaitLog, log_interference
 from pollenkeel_jobs.core.preemption import Preemption
-from pollenkeel_jobs.core.progress import (
-    store_checkpoint,
-    update_best_effort_use,
-    update_headroom,
-    update_run,
-)
 from pollenkeel_jobs.core.progress_rows import ProgressBatch, ProgressTooLargeError
 from pollenkeel_jobs.core.ready_queue import Placed, ReadyQueue
 from pollenkeel_jobs.core.report_log import (
-    is_cut,
-    log_cut_lists,
     log_late_report,
     log_overtaken_lists,
 )
+from pollenkeel_jobs.core.reports import ReportProcessor
 from pollenkeel_jobs.core.reservations import Reservations
-from pollenkeel_jobs.core.speed import VmSpeeds
-from pollenkeel_jobs.core.stalls import StallDetector
-from pollenkeel_jobs.core.stops import StopOrderQueue
+from pollenkeel_jobs.core.run_control import RunControl
 from pollenkeel_jobs.core.tables import RowWrite
 from pollenkeel_jobs.core.vms import Vm, make_profile
 from pollenkeel_kernel.core.clock import Clock
@@ -80,8 +63,6 @@
 
 logger = logbook.Logger("scheduler")
 
-#: Seconds after its placement at which a run that the worker does not list is revoked.
-_UNLISTED_RUN_SECONDS = 1.5
 #: Seconds after a refused start during which other VMs are preferred. Until the next
 #: report of the VM it would be chosen again and again, as it has room.
 _REFUSAL_SECONDS = 0.5
@@ -121,7 +102,6 @@
         self._fleet = Fleet(clock)
         self._tickets = TicketCache(clock)
         self._unsent_starts: list[PlannedStart] = []
-        self._stops = StopOrderQueue()
         self._interference = interference
         reservations = Reservations(self._jobs.ready)
         self._placement = LeastLoaded(self._interference, reservations)
@@ -132,8 +112,12 @@
             self._jobs.ready, self._tickets, self._placement, reservations
         )
         self._migration = Migration(self._placement)
-        self._speeds = VmSpeeds()
-        self._stalls = StallDetector(self._speeds, self._fleet.quarantine)
+        self._control = RunControl(
+            self._jobs, self._fleet, self._tickets, clock, self.wake
+        )
+        self._reports = ReportProcessor(
+            epoch, self._control, self._jobs, self._fleet, interference, self.wake
+        )
         self._wait_log = WaitLog()
         self._next_migration_at = 0.0
         self._next_weights_write_at = 0.0
@@ -173,7 +157,7 @@
         elif not job.cancelled:
             job.cancelled = True
             if not job.status.final:
-                self._finish(job, JobStatus.CANCELLED)
+                self._control.finish(job, JobStatus.CANCELLED)
 
     def find_status(self, job_id: str) -> JobStatus | None:
         """Return the recorded status of a job, or None for an unknown job."""
@@ -278,7 +262,7 @@
             elif vm.has_newer_lists(report.worker, report.clock):
                 log_overtaken_lists(vm, report)
             elif report.epoch == self.epoch and report.worker:
-                self._apply_report(vm, report, now)
+                self._reports.apply(vm, report, now)
                 if report.clock and may_grant_lease:
                     self._fleet.grant_lease(vm, report.clock)
             return self._make_reply(vm, report)
@@ -311,205 +295,6 @@
                 self._interference.pairs(vm.serving_images, vm.best_effort_images)
             )
 
-    def _apply_report(self, vm: Vm, report: VmReport, now: float) -> None:
-        vm.heard_at = now
-        if report.worker != vm.incarnation:
-            for task in self._fleet.begin_incarnation(vm, report.worker):
-                self._requeue(task, "worker restarted")
-        for crash in report.crashes:
-            for task in record_crash(self._jobs, crash):
-                if not task.job.status.final:
-                    self._finish(task.job, JobStatus.FAILED)
-        vm.service = report.service
-        vm.zone = report.zone
-        vm.capacity = report.capacity
-        vm.labels = frozenset(report.labels)
-        vm.draining = report.state == "draining"
-        vm.starting = report.state == "starting"
-        vm.rejecting = report.rejecting
-        if report.clock:
-            vm.listed_at = now
-            self._apply_run_lists(vm, report, now)
-            update_headroom(vm, report.running, self._interference, now)
-            update_best_effort_use(vm, report.running, now)
-            self._interference.observe(
-                vm.name, report.running, vm.profiles_by_task, vm.capacity.cpu, now
-            )
-
-    def _apply_run_lists(self, vm: Vm, report: VmReport, now: float) -> None:
-        """Update tasks from the runs that the worker lists.
-
-        Processes ended runs, stops runs that should not run here, and requeues lost
-        ones. What lists that are cut don't name is unknown, not lost: the rest of the
-        ended runs is listed once those before are acknowledged.
-        """
-        log_cut_lists(vm, report)
-        vm.clock = report.clock
-        vm.fenced = report.fenced_epoch == self.epoch
-        listed = {(run.task_id, run.run) for run in report.running}
-        vm.unplaced_demand = Demand()
-        vm.has_unknown_runs = False
-        for running in report.running:
-            task = vm.tasks_by_id.get(running.task_id)
-            if task is None or task.run != running.run:
-                self._count_run_not_placed_here(vm, running.task_id)
-                self._stop(vm, running.task_id, running.run, now)
-                continue
-            self._jobs.mark_started(task.job)
-            update_run(vm, task, running, report.paced, now)
-            self._stalls.judge(vm, task, now)
-            record_sound_run(self._jobs, vm, task)
-            if vm.trial is task and now - task.seen_at >= TRIAL_SECONDS:
-                vm.trial = None
-            if self._stalls.has_stalled(vm, task):
-                self._stalls.suspect(vm, task, now)
-            if (
-                task.state is not TaskState.PLACED
-                or task.stop_wanted
-                or task.job.status.final
-            ):
-                self._stop(vm, running.task_id, running.run, now)
-        for ended in sorted(report.ended, key=lambda ended: ended.number):
-            listed.add((ended.task_id, ended.run))
-            if ended.number > vm.ended_through:
-                vm.ended_through = ended.number
-                self._process_end(vm, ended, now)
-        if vm.ended_through > vm.recorded_through:
-            self.wake.set()
-        if vm.fenced and not is_cut(report):
-            withdrawn = {(stop.task_id, stop.run) for stop in report.withdrawn}
-            self._requeue_lost_runs(vm, listed, withdrawn, now)
-
-    def _count_run_not_placed_here(self, vm: Vm, task_id: str) -> None:
-        """Count the resources of a run that this scheduler did not place on the VM."""
-        parsed = parse_task_id(task_id)
-        job = self._jobs.find(parsed[0]) if parsed else None
-        if job is None or parsed is None or parsed[1].step >= len(job.spec.steps):
-            vm.has_unknown_runs = True
-        else:
-            vm.unplaced_demand += job.spec.steps[parsed[1].step].reserved
-
-    def _requeue_lost_runs(
-        self,
-        vm: Vm,
-        listed: set[tuple[str, int]],
-        withdrawn: set[tuple[str, int]],
-        now: float,
-    ) -> None:
-        """Requeue runs that the worker does not list and can no longer start.
-
-        The worker rejects a start after ``order_deadline`` and one that was revoked, as
-        listed in ``withdrawn``.
-        """
-        for task in list(vm.tasks_by_id.values()):
-            run = (task.task_id, task.run)
-            if run in listed:
-                continue
-            if run in withdrawn or vm.clock > task.order_deadline:
-                self._requeue(task, "not at the worker")
-            elif task.sent and now - task.placed_at > _UNLISTED_RUN_SECONDS:
-                self._stop(vm, task.task_id, task.run, now)
-
-    def _stop(self, vm: Vm, task_id: str, run: int, now: float) -> None:
-        """Order a run to be stopped, or to be revoked if it has not started."""
-        if self._stops.add(vm, task_id, run, now):
-            self.wake.set()
-
-    # Ends of runs.
-
-    def _process_end(self, vm: Vm, ended: EndedTask, now: float) -> None:
-        """Finish, fail or requeue a task according to how its run ended."""
-        self._stops.forget(ended.task_id, ended.run)
-        task = self._jobs.find_task(ended.task_id)
-        if task is None:
-            return
-        holder = vm
-        if task.run != ended.run:
-            if not _is_done_by_earlier_run(task, ended):
-                return
-            holder = self._fleet.find_by_incarnation(task.runner) or vm
-        # The end may arrive after the task was requeued, for example because the
-        # worker's lease had expired. It still counts, as no newer run has started.
-        placed_here = holder.tasks_by_id.get(ended.task_id) is task
-        if not placed_here and task.state is not TaskState.WAITING:
-            return
-        log_change(
-            logger,
-            "run ended",
-            task=ended.task_id,
-            run=ended.run,
-            vm=vm.name,
-            how=ended.how,
-            seconds=round(now - task.placed_at, 3) if task.placed_at else None,
-            image=task.step.image or None,
-            use=round(task.use, 2) if task.step.fills else None,
-        )
-        RUNS_ENDED.labels(ended.how).inc()
-        holder.remove(task)
-        self._jobs.mark_started(task.job)
-        store_checkpoint(task, ended.checkpoint)
-        if ended.how in ("done", "failed") and not task.step.long_running:
-            self._record_vm_result(vm, task, ended.how == "failed", now)
-        if task.job.status.final or task.state is TaskState.DONE:
-            return
-        if ended.how == "done" and not task.step.long_running:
-            self._jobs.finish_task(task)
-            self._forget_tickets_if_final(task.job)
-        elif ended.how == "failed" and self._record_failure(task, vm):
-            task.state = TaskState.FAILED
-            self._finish(task.job, JobStatus.FAILED)
-        else:
-            self._requeue(task, ended.how)
-
-    def _record_vm_result(self, vm: Vm, task: Task, failed: bool, now: float) -> None:
-        """Update the worker's quarantine and the VM's slowness from an ended run."""
-        self._fleet.quarantine.record(vm.incarnation, task.job.spec.job_id, failed, now)
-        if not failed:
-            self._speeds.observe(vm, task, now)
-            self._stalls.judge_done(vm, task, now)
-
-    def _record_failure(self, task: Task, vm: Vm) -> bool:
-        """Count a failed run; return whether the attempts are used up.
-
-        The members of a gang share their attempts; long-running tasks have no limit.
-        """
-        task.failed_on.add(vm.incarnation)
-        if task.step.long_running:
-            return False
-        task.failures += 1
-        self._jobs.dirty[task.job] = None
-        members = list_step_tasks(task) if task.step.gang else [task]
-        failures = sum(member.failures for member in members)
-        return failures >= task.job.spec.queue.attempts
-
-    def _forget_tickets_if_final(self, job: Job) -> None:
-        if job.status.final:
-            self._tickets.forget(job.spec.job_id)
-
-    def _finish(self, job: Job, status: JobStatus) -> None:
-        """End a job and stop its runs."""
-        self._jobs.finish(job, status)
-        self._forget_tickets_if_final(job)
-        now = self._clock.now()
-        for task in job.tasks():
-            vm = self._fleet.find_by_incarnation(task.runner)
-            if task.state is TaskState.PLACED and vm is not None:
-                self._stop(vm, task.task_id, task.run, now)
-
-    def _requeue(self, task: Task, cause: str) -> None:
-        """Requeue a placed task and stop the other members of its gang."""
-        vm = self._fleet.find_by_incarnation(task.runner)
-        if vm is not None:
-            vm.remove(task)
-        self._jobs.requeue(task, cause)
-        if task.step.gang:
-            now = self._clock.now()
-            for member in list_step_tasks(task):
-                holder = self._fleet.find_by_incarnation(member.runner)
-                if member.state is TaskState.PLACED and holder is not None:
-                    self._stop(holder, member.task_id, member.run, now)
-        self.wake.set()
-
     # Results of orders.
 
     def process_outcomes(self, vm: Vm, outcomes: Iterable[OrderOutcome]) -> None:
@@ -532,7 +317,7 @@
                     if outcome.reason == "ticket":
                         self._tickets.drop(task, vm)
                     vm.avoided_until = max(vm.avoided_until, now + _REFUSAL_SECONDS)
-                    self._requeue(task, f"refused: {outcome.reason}")
+                    self._control.requeue(task, f"refused: {outcome.reason}")
                 elif outcome.outcome == "started":
                     self._jobs.mark_started(task.job)
 
@@ -543,7 +328,7 @@
                 task = start.task
                 placed = vm.tasks_by_id.get(task.task_id) is task
                 if placed and task.run == start.run and not task.sent:
-                    self._requeue(task, "order not sent")
+                    self._control.requeue(task, "order not sent")
 
     def make_starts(self, vm: Vm, starts: Iterable[PlannedStart]) -> PreparedStarts:
         """Return the start orders that still apply, and mark them as sent."""
@@ -588,7 +373,7 @@
         """Place waiting tasks; return the rows to write and the orders to send."""
         with self._lock:
             for task in list(self._fleet.pop_expired()):
-                self._requeue(task, "lease lapsed")
+                self._control.requeue(task, "lease lapsed")
             self._jobs.add_due_occurrences()
             self._place_ready_tasks()
             self._stop_tasks_to_migrate()
@@ -636,7 +421,7 @@
         )
         if not job.status.final:
             job.failure_code = Code.PROGRESS_NOT_RECORDED.value
-            self._finish(job, JobStatus.FAILED)
+            self._control.finish(job, JobStatus.FAILED)
 
     def reject_progress(self, rejected_pass: Pass, job_id: str, cause: str) -> None:
         """End a job whose rows in a pass were rejected by the table service.
@@ -677,7 +462,7 @@
             vm = self._fleet.find_by_incarnation(start.task.runner)
             if vm is not None:
                 batches_by_vm.setdefault(vm, OrderBatch(vm)).starts.append(start)
-        for vm, stops in self._stops.pop_unsent().items():
+        for vm, stops in self._control.stops.pop_unsent().items():
             batches_by_vm.setdefault(vm, OrderBatch(vm)).stops.extend(stops)
         return list(batches_by_vm.values())
 
@@ -756,7 +541,7 @@
                 draining=vm.draining,
             )
             task.stop_wanted = True
-            self._stop(vm, task.task_id, task.run, now)
+            self._control.stop(vm, task.task_id, task.run, now)
 
     def _stop_preempted_tasks(self) -> None:
         """Stop tasks of a lower priority for long-running tasks that wait for room."""
@@ -773,17 +558,4 @@
                 waited=round(now - waiting.ready_at, 2),
             )
             task.stop_wanted = True
-            self._stop(vm, task.task_id, task.run, now)
-
-
-def _is_done_by_earlier_run(task: Task, ended: EndedTask) -> bool:
-    """Return whether a task is done by a run that was given up before it was listed.
-
-    That is not so if a later run may have started, which is then the one that counts.
-    The members of a gang are done together, by one run.
-    """
-    if ended.how != "done" or ended.run > task.run:
-        return False
-    if task.step.long_running or task.step.gang:
-        return False
-    return task.state is TaskState.WAITING or task.awaits_order
+            self._control.stop(vm, task.task_id, task.run, now)
