Find a lost run although a worker's list of ends stays full

A worker whose ends come as fast as the lists can show them never has a shorter one, and its lease is extended with each report, so a start that was lost was never found: its task ran nowhere (LOST).

Change: ends are numbered in their order. Once a run that was listed as running at some time is listed as ended, all ends up to that time have been listed. A run that can no longer start and was missed by then is lost; so is one that an uncut list doesn't name, as before. Revocations go on beside full lists for runs that were never listed.

Evidence: test_lost_run_is_found_although_all_lists_are_full failed before (the task did not run again in five full lists). Two cases beside it, held before too: a new leader, and a worker that drains, with more ends than a list shows.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -148,7 +148,7 @@
             vm.replaced.append(vm.incarnation)
         vm.incarnation = incarnation
         vm.fenced = False
-        vm.clock = vm.lease_until = 0.0
+        vm.clock = vm.lease_until = vm.ends_complete_to = 0.0
         vm.ended_through = vm.recorded_through = 0
         # Until the first grant, runs here may hold a lease of an earlier leader.
         vm.leases_expired_at = max(
@@ -158,7 +158,7 @@
             vm.add(task)
         for task in inherited:
             # A run that is not listed is revoked at once.
-            task.runner, task.placed_at = incarnation, 0.0
+            task.runner, task.placed_at, task.absent_at = incarnation, 0.0, 0.0
             vm.add(task)
         if inherited:
             vm.leases_expired_at = max(
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -307,6 +307,12 @@
     placed_at, seen_at : float
         Time of the placement and of the first report that lists the run, in seconds
         since the Unix epoch; 0 if it has not happened under this leader.
+    running_at : float
+        Time on the worker's clock, in milliseconds, of the latest lists in which the
+        run was in progress; 0 before the first.
+    absent_at : float
+        Time on the worker's clock, in milliseconds, of the first lists in which the run
+        was not in progress although it can no longer start; 0 if there are none.
     order_deadline : float
         Time on the worker's clock, in milliseconds, after which the worker rejects
         the start order of the latest run.
@@ -351,6 +357,8 @@
 
     placed_at: float = 0.0
     seen_at: float = 0.0
+    running_at: float = 0.0
+    absent_at: float = 0.0
     order_deadline: float = 0.0
     sent: bool = False
     stop_wanted: bool = False
@@ -372,6 +380,8 @@
     def reset_run(self) -> None:
         """Clear the state of the latest run."""
         self.seen_at = 0.0
+        self.running_at = 0.0
+        self.absent_at = 0.0
         self.progress = RunProgress()
         self.listed_checkpoint = ""
         self.sent = False
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
@@ -44,6 +44,7 @@
         Current time in seconds since the Unix epoch.
     """
     task.seen_at = task.seen_at or now
+    task.running_at = vm.clock
     if running.checkpoint != task.listed_checkpoint:
         task.listed_checkpoint = running.checkpoint
         store_checkpoint(task, running.checkpoint)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -111,8 +111,7 @@
         """Update tasks from the runs that the worker lists.
 
         Processes ended runs, stops runs that should not run here, and requeues lost
-        ones. What lists that are cut don't name is unknown, not lost: the rest of the
-        ended runs is listed once those before are acknowledged.
+        ones.
         """
         log_cut_lists(vm, report)
         vm.clock = report.clock
@@ -144,10 +143,13 @@
             listed.add((ended.task_id, ended.run))
             if ended.number > vm.ended_through:
                 vm.ended_through = ended.number
+                self._note_ends_before(vm, ended)
                 self._process_end(vm, ended, now)
+        if not is_cut(report):
+            vm.ends_complete_to = vm.clock
         if vm.ended_through > vm.recorded_through:
             self._wake.set()
-        if vm.fenced and not is_cut(report):
+        if vm.fenced:
             withdrawn = {(stop.task_id, stop.run) for stop in report.withdrawn}
             self._requeue_lost_runs(vm, listed, withdrawn, now)
 
@@ -160,6 +162,16 @@
         else:
             vm.unplaced_demand += job.spec.steps[parsed[1].step].reserved
 
+    def _note_ends_before(self, vm: Vm, ended: EndedTask) -> None:
+        """Record up to which time all ends have been listed.
+
+        Ends are numbered in their order, and lower numbers are listed first. So all
+        runs that had ended when this one was still running have been listed.
+        """
+        task = vm.tasks_by_id.get(ended.task_id)
+        if task is not None and task.run == ended.run:
+            vm.ends_complete_to = max(vm.ends_complete_to, task.running_at)
+
     def _requeue_lost_runs(
         self,
         vm: Vm,
@@ -167,20 +179,30 @@
         withdrawn: set[tuple[str, int]],
         now: float,
     ) -> None:
-        """Requeue runs that the worker does not list and can no longer start.
+        """Requeue runs that have not ended and can no longer start.
 
         The worker rejects a start after ``order_deadline`` and one that was revoked, as
-        listed in ``withdrawn``.
+        listed in ``withdrawn``. Such a run that isn't running is lost, unless it has
+        ended: a list that is cut doesn't tell before the ends up to then are listed.
         """
         for task in list(vm.tasks_by_id.values()):
             run = (task.task_id, task.run)
             if run in listed:
-                continue
-            if run in withdrawn or vm.clock > task.order_deadline:
-                self._control.requeue(task, "not at the worker")
-            elif task.sent and now - task.placed_at > _UNLISTED_RUN_SECONDS:
+                task.absent_at = 0.0
+            elif run in withdrawn or vm.clock > task.order_deadline:
+                task.absent_at = task.absent_at or vm.clock
+                if task.absent_at <= vm.ends_complete_to:
+                    self._control.requeue(task, "not at the worker")
+            elif self._must_be_revoked(vm, task, now):
                 self._control.stop(vm, task.task_id, task.run, now)
 
+    def _must_be_revoked(self, vm: Vm, task: Task, now: float) -> bool:
+        """Return whether a run that isn't listed may start late, or never."""
+        if not task.sent or now - task.placed_at <= _UNLISTED_RUN_SECONDS:
+            return False
+        # A run that was listed once has ended; its end is beyond a list that is cut.
+        return not task.seen_at or vm.ends_complete_to == vm.clock
+
     def _process_end(self, vm: Vm, ended: EndedTask, now: float) -> None:
         """Finish, fail or requeue a task according to how its run ended."""
         self._control.stops.forget(ended.task_id, ended.run)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -74,6 +74,9 @@
         Number of the last ended run that was processed.
     recorded_through : int
         Number of the last ended run whose effect is recorded.
+    ends_complete_to : float
+        Time on the worker's clock, in milliseconds, up to which all ends of runs have
+        been listed. A list has room for a limited number.
     slowness : float
         Factor by which tasks run longer than on other VMs, at least 1.
     avoided_until : float
@@ -127,6 +130,7 @@
     leases_expired_at: float = 0.0
     ended_through: int = 0
     recorded_through: int = 0
+    ends_complete_to: float = 0.0
     slowness: float = 1.0
     avoided_until: float = 0.0
     reserved_demand: Demand = attrs.field(factory=Demand)
--- a/packages/pollenkeel-jobs/tests/core/test_late_ends.py
+++ b/packages/pollenkeel-jobs/tests/core/test_late_ends.py
@@ -1,11 +1,15 @@
 """Tests of ended runs that the leader hears of late."""
 
+import attrs
 import pytest
 from jobs_doubles import Site, make_job
 
 from pollenkeel_jobs.core.fleet import WORKER_LEASE
-from pollenkeel_jobs.core.messages import OrderOutcome
+from pollenkeel_jobs.core.messages import EndedTask, OrderOutcome
 from pollenkeel_jobs.core.model import Demand, StepSpec
+from pollenkeel_jobs.core.names import PROGRESS
+from pollenkeel_jobs.core.records import encode_job
+from pollenkeel_jobs.core.report_log import MAX_LISTED_ENDS
 
 TASK = "j1.0.0.0"
 
@@ -86,3 +90,96 @@
     plan_start(site)
     site.vms[0].report()
     assert site.scheduler.find_status("j1").value != "done"
+
+
+class BusyVm:
+    """Worker whose ends come as fast as one list after the other can show them.
+
+    Parameters
+    ----------
+    site : Site
+        Site whose only VM this is.
+    """
+
+    def __init__(self, site):
+        self._site = site
+        self._ends = []
+        self.vm = site.vms[0]
+
+    def end(self, count):
+        """End the oldest runs."""
+        for run in self.vm.running[:count]:
+            number = len(self._ends) + 1
+            self._ends.append(EndedTask(number, run.task_id, run.run, "done"))
+        del self.vm.running[:count]
+
+    def step(self):
+        """Do a step of the leader with the next list of ends; return its length."""
+        recorded = self.vm.vm.recorded_through
+        self.vm.ended = self._ends[recorded : recorded + MAX_LISTED_ENDS]
+        self.vm.running = [
+            attrs.evolve(run, percent=run.percent + 1) for run in self.vm.running
+        ]
+        listed = len(self.vm.ended)
+        self._site.step()
+        return listed
+
+
+@pytest.fixture
+def busy_vm(clock):
+    """VM that runs the 3,500 tasks of a job."""
+    return run_many(Site(clock, cpu=10**7, memory=10**7))
+
+
+def run_many(site, count=3500):
+    site.scheduler.add_job(make_large_job(count))
+    site.step()
+    return BusyVm(site)
+
+
+def make_large_job(count):
+    return make_job(steps=(StepSpec(count, Demand(1000, 1000), 1.0),))
+
+
+def test_lost_run_is_found_although_all_lists_are_full(clock, busy_vm):
+    """Guards against a task that never runs again while a worker stays busy (LOST)."""
+    busy_vm.end(MAX_LISTED_ENDS)
+    lost = busy_vm.vm.running.pop()
+    for _ in range(5):
+        clock.advance(2.0)
+        busy_vm.end(MAX_LISTED_ENDS)
+        assert busy_vm.step() == MAX_LISTED_ENDS
+    runs = {run.task_id: run.run for run in busy_vm.vm.running}
+    assert runs[lost.task_id] == 2
+
+
+def test_run_beyond_a_full_list_is_never_taken_for_lost(clock, busy_vm):
+    """Guards against tasks that run again after their ends (TWICE)."""
+    for _ in range(4):
+        busy_vm.end(2 * MAX_LISTED_ENDS)
+        clock.advance(2.0)
+        busy_vm.step()
+    while busy_vm.step():
+        pass
+    assert busy_vm.vm.running == []
+    assert busy_vm.vm.withdrawn == []
+
+
+@pytest.mark.parametrize("draining", [False, True])
+def test_new_leader_waits_for_the_ends_beyond_a_full_list(clock, draining):
+    """Guards against tasks that run again since a new leader saw one list only."""
+    count = MAX_LISTED_ENDS + 300
+    site = Site(clock, cpu=10**7, memory=10**7)
+    vm = run_many(site, count).vm
+    for run in list(vm.running):
+        vm.end(run.task_id)
+    successor = Site(clock)
+    progress = site.rows_by_key[PROGRESS, "j1"]
+    successor.scheduler.load([(encode_job(make_large_job(count)), progress)])
+    busy_vm = BusyVm(successor)
+    busy_vm._ends, busy_vm.vm.draining = vm.ended, draining
+    for _ in range(2):
+        clock.advance(2.0)
+        busy_vm.step()
+    assert busy_vm.vm.running == []
+    assert successor.scheduler.find_status("j1").value == "done"
