Refuse starts that wait too long at an agent, and count their time from the order

The leader revokes a run that isn't listed 1.5 s after its placement. An agent sends starts by four threads, so of a large message the last ones are sent after that: they had just started when they were revoked, were placed again, and so on.

Ruled out: the cut lists (the excess runs begin before the outage), lapsed leases (no run ended as lapsed), lost answers (all starts were answered).

Change: a start that finds no thread within the 1.2 s of a message is refused as not run, so that the leader places it again, elsewhere first. The time after which an unlisted run is revoked counts from the order, and anew from the agent's word that it has started. Stops, and the poll for a new leader, have threads of their own, and stops that wait longer than the message are dropped: the leader repeats them.

Evidence: four tests failed before.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -58,7 +58,10 @@
 #: Number of revoked runs that are kept per incarnation of the worker; beyond that the
 #: oldest is dropped.
 _MAX_REVOKED_RUNS = 2000
-_ORDER_THREADS = 4
+#: Threads that send starts to the worker, and threads for stops and for the poll that
+#: a new leader waits for, which must not wait behind starts.
+_START_THREADS = 4
+_CONTROL_THREADS = 2
 _UNKNOWN = "unknown"
 _REFUSED = "refused"
 _STARTED = "started"
@@ -90,8 +93,11 @@
         self._epoch = 0
         self._leader: PeerClient | None = None
         self._wake = threading.Event()
-        self._order_pool = ThreadPoolExecutor(
-            _ORDER_THREADS, thread_name_prefix="order"
+        self._start_pool = ThreadPoolExecutor(
+            _START_THREADS, thread_name_prefix="start"
+        )
+        self._control_pool = ThreadPoolExecutor(
+            _CONTROL_THREADS, thread_name_prefix="control"
         )
 
     def record_announcement(self, announcement: WorkerAnnouncement) -> bool:
@@ -138,7 +144,7 @@
         self._leader = PeerClient.open(message.leader, self._clock)
         # The poll loop may be blocked in a long poll; a new leader needs the worker's
         # state at once.
-        self._order_pool.submit(self._poll_worker, 0.0)
+        self._control_pool.submit(self._poll_worker, 0.0)
 
     def _find_refusal_reason(self, message: VmOrders, state: WorkerState | None) -> str:
         """Return why orders must be refused, or an empty string."""
@@ -167,23 +173,25 @@
         if state is None or refusal:
             return _refuse(message.starts, refusal)
         order = _make_order(state, message.epoch)
-        stops: list[Future[Any]] = [
-            self._order_pool.submit(self._stop, state, order, stop)
+        stops = [
+            self._control_pool.submit(self._stop, state, order, stop)
             for stop in message.stops
         ]
         refusal = self._find_start_refusal_reason(state)
+        starts = [] if refusal else message.starts
+        calls = [
+            self._start_pool.submit(self._start, state, order, start, message)
+            for start in starts
+        ]
+        pending: list[Future[Any]] = [*calls, *stops]
+        wait(pending, timeout=_ORDER_TIMEOUT_SECONDS)
+        # The leader repeats stops; a queue that grows would delay later ones.
+        for stop_call in stops:
+            stop_call.cancel()
+        self._wake.set()
         if refusal:
             return _refuse(message.starts, refusal)
-        starts: list[tuple[StartOrder, Future[OrderOutcome]]] = []
-        for start in message.starts:
-            with self._lock:
-                state.profiles_by_task[start.task_id] = start.profile
-            call = self._order_pool.submit(self._start, state, order, start, message)
-            starts.append((start, call))
-        calls: list[Future[Any]] = [call for _, call in starts]
-        wait(calls + stops, timeout=_ORDER_TIMEOUT_SECONDS)
-        self._wake.set()
-        return [_get_outcome(start, call) for start, call in starts]
+        return [_get_outcome(*pair) for pair in zip(starts, calls, strict=True)]
 
     def _start(
         self,
@@ -201,12 +209,14 @@
             # A worker that does not answer may have crashed already.
             if state.answering:
                 state.starts.record(run, self._clock.now())
+            state.profiles_by_task[start.task_id] = start.profile
         result = self._worker.start(order, start, payload, message.deadline)
         if isinstance(result, Err):
             failure = result.err_value
             if failure.refused or failure.born:
                 with self._lock:
                     state.starts.forget([run])
+                    state.profiles_by_task.pop(start.task_id, None)
             if self._check_incarnation(state, failure):
                 self._revoke_at_next_incarnation(order, start, failure.born)
             outcome = _REFUSED if failure.refused else _UNKNOWN
@@ -279,7 +289,8 @@
                 stop.wait(_RETRY_SECONDS)
             if self._clock.now() - poll_started_at < _MIN_POLL_INTERVAL:
                 stop.wait(_MIN_POLL_INTERVAL)
-        self._order_pool.shutdown(wait=False, cancel_futures=True)
+        for pool in (self._start_pool, self._control_pool):
+            pool.shutdown(wait=False, cancel_futures=True)
 
     def _poll_once(self) -> None:
         self._poll_worker(_POLL_SECONDS)
@@ -514,6 +525,9 @@
 
 
 def _get_outcome(start: StartOrder, call: Future[OrderOutcome]) -> OrderOutcome:
+    """Return the outcome of a start; one that still waits for a thread is refused."""
+    if call.cancel():
+        return OrderOutcome(start.task_id, start.run, _REFUSED, "not sent in time")
     if not call.done():
         return OrderOutcome(start.task_id, start.run, _UNKNOWN, "no reply in time")
     return call.result()
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -157,8 +157,10 @@
         for task in self._orphans_by_incarnation.pop(incarnation, {}).values():
             vm.add(task)
         for task in inherited:
+            task.runner = incarnation
+            task.placed_at = task.absent_at = 0.0
             # A run that is not listed is revoked at once.
-            task.runner, task.placed_at, task.absent_at = incarnation, 0.0, 0.0
+            task.listed_by = 0.0
             vm.add(task)
         if inherited:
             vm.leases_expired_at = max(
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -318,6 +318,9 @@
         the start order of the latest run.
     sent : bool
         Whether the start order has been sent to the agent.
+    listed_by : float
+        Time by which the worker should list the run once its order is sent, in seconds
+        since the Unix epoch.
     stop_wanted : bool
         Whether the run is being stopped so that the task runs elsewhere.
     ready_at : float
@@ -361,6 +364,7 @@
     absent_at: float = 0.0
     order_deadline: float = 0.0
     sent: bool = False
+    listed_by: float = 0.0
     stop_wanted: bool = False
     ready_at: float = 0.0
     progress: RunProgress = attrs.field(factory=RunProgress)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -38,9 +38,6 @@
 
 logger = logbook.Logger("scheduler")
 
-#: Seconds after its placement at which a run that the worker does not list is revoked.
-_UNLISTED_RUN_SECONDS = 1.5
-
 
 class ReportProcessor:
     """Updates jobs and VMs from what a worker lists.
@@ -198,7 +195,7 @@
 
     def _must_be_revoked(self, vm: Vm, task: Task, now: float) -> bool:
         """Return whether a run that isn't listed may start late, or never."""
-        if not task.sent or now - task.placed_at <= _UNLISTED_RUN_SECONDS:
+        if not task.sent or now <= task.listed_by:
             return False
         # A run that was listed once has ended; its end is beyond a list that is cut.
         return not task.seen_at or vm.ends_complete_to == vm.clock
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -63,6 +63,9 @@
 
 logger = logbook.Logger("scheduler")
 
+#: Seconds after its order, or after the agent's word that it has started, at which a
+#: run that the worker does not list is revoked.
+_UNLISTED_RUN_SECONDS = 1.5
 #: Seconds after a refused start during which other VMs are preferred. Until the next
 #: report of the VM it would be chosen again and again, as it has room.
 _REFUSAL_SECONDS = 0.5
@@ -319,6 +322,7 @@
                     vm.avoided_until = max(vm.avoided_until, now + _REFUSAL_SECONDS)
                     self._control.requeue(task, f"refused: {outcome.reason}")
                 elif outcome.outcome == "started":
+                    task.listed_by = self._clock.now() + _UNLISTED_RUN_SECONDS
                     self._jobs.mark_started(task.job)
 
     def drop_orders(self, vm: Vm, starts: Iterable[PlannedStart]) -> None:
@@ -340,6 +344,7 @@
                     continue
                 task.sent = True
                 task.order_deadline = prepared.deadline
+                task.listed_by = self._clock.now() + _UNLISTED_RUN_SECONDS
                 profile = make_profile(task)
                 prepared.orders.append(
                     StartOrder(
--- a/packages/pollenkeel-jobs/tests/core/test_agent_orders.py
+++ b/packages/pollenkeel-jobs/tests/core/test_agent_orders.py
@@ -1,5 +1,7 @@
 """Tests of how an agent executes the orders of a leader."""
 
+import threading
+
 import pytest
 from agent_doubles import (
     DEADLINE,
@@ -10,7 +12,9 @@
     poll,
     restart,
 )
+from result import Ok
 
+from pollenkeel_jobs.core import agent as agent_module
 from pollenkeel_jobs.core.messages import StopOrder
 
 TASK = "j.0.0.0"
@@ -71,3 +75,58 @@
     started = {task for task, _ in worker.started}
     assert started
     assert {task for _, task, _ in worker.stopped} == started
+
+
+@pytest.fixture
+def slow_worker(worker, monkeypatch):
+    """Worker whose starts wait until ``released`` is set, longer than the agent."""
+    monkeypatch.setattr(agent_module, "_ORDER_TIMEOUT_SECONDS", 0.1)
+    worker.released = threading.Event()
+    start = worker.start
+
+    def wait_and_start(*args):
+        worker.released.wait(5.0)
+        return start(*args)
+
+    monkeypatch.setattr(worker, "start", wait_and_start)
+    yield worker
+    worker.released.set()
+
+
+def test_start_that_waits_for_a_thread_too_long_is_refused(agent, slow_worker):
+    """Guards against starts that are sent after the leader has cancelled the job."""
+    tasks = [f"j.0.0.{index}" for index in range(12)]
+    outcomes = order_starts(agent, *tasks)
+    unknown = [o.task_id for o in outcomes if o.outcome == "unknown"]
+    refused = [o for o in outcomes if o.outcome == "refused"]
+    assert len(unknown) + len(refused) == 12
+    assert {o.reason for o in refused} == {"not sent in time"}
+    slow_worker.released.set()
+    agent._start_pool.shutdown()
+    assert sorted(task for task, _ in slow_worker.started) == sorted(unknown)
+
+
+def test_stop_does_not_wait_for_starts(agent, slow_worker):
+    """Guards against runs of a cancelled job that go on behind slow starts."""
+    order_starts(agent, *(f"j.0.0.{index}" for index in range(12)))
+    agent.handle(make_orders(agent, stops=[(TASK, 1)]))
+    assert slow_worker.stopped == [(1, TASK, 1)]
+
+
+def test_stops_that_are_not_answered_do_not_pile_up(agent, worker, monkeypatch):
+    """Guards against a queue of stops that grows while a worker is silent."""
+    monkeypatch.setattr(agent_module, "_ORDER_TIMEOUT_SECONDS", 0.1)
+    released, stopped = threading.Event(), []
+
+    def stop(order, task_id, run):
+        stopped.append(task_id)
+        released.wait(5.0)
+        return Ok(None)
+
+    monkeypatch.setattr(worker, "stop", stop)
+    stops = [(f"j.0.0.{index}", 1) for index in range(12)]
+    for _ in range(3):
+        agent.handle(make_orders(agent, stops=stops))
+    released.set()
+    agent._control_pool.shutdown()
+    assert len(stopped) == agent_module._CONTROL_THREADS
--- a/packages/pollenkeel-jobs/tests/core/test_scheduler.py
+++ b/packages/pollenkeel-jobs/tests/core/test_scheduler.py
@@ -247,6 +247,32 @@
     assert [run.run for run in vm.running] == [2]
 
 
+def test_start_that_waits_for_its_turn_is_not_revoked(site):
+    """Guards against runs that are stopped since many orders were sent before theirs.
+
+    Seen with 1,000 tasks on one VM: 417 had just started when they were revoked.
+    """
+    site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 100)),)))
+    vm = site.vms[0]
+    vm.report()
+    planned = site.scheduler.plan()
+    site.scheduler.confirm(planned)
+    site.clock.advance(1.2)
+    vm.start(site.scheduler.make_starts(vm.vm, planned.order_batches[0].starts).orders)
+    (run,) = vm.running
+    vm.running.clear()
+    site.clock.advance(1.0)
+    site.step()
+    started = OrderOutcome(run.task_id, run.run, "started")
+    site.scheduler.process_outcomes(vm.vm, [started])
+    site.clock.advance(1.0)
+    site.step()
+    assert vm.withdrawn == []
+    site.clock.advance(1.0)
+    site.step()
+    assert [stop.run for stop in vm.withdrawn] == [1]
+
+
 def test_rejected_start_is_placed_again(site):
     """Guards against a wait for a rejected start, which is known not to have run."""
     site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 100)),)))
