Try the suspects of one crash together, and alone only after a second one

On three VMs one trial goes on at a time, so that innocent jobs waited over a minute.

What suspects find no VM is kept apart from other tasks' kinds of demand. The trial of a VM is a type of its own (trials.py).

Evidence: test_many_suspects_of_one_crash_run_again_soon (55 and 220 suspects) and test_suspects_of_two_crashes_are_tried_alone failed before.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
@@ -18,8 +18,6 @@
 #: that had just been started at the last crash, and if there were others.
 _MAX_CRASHES_ALONE = 2
 _MAX_CRASHES = 3
-#: Seconds for which a worker must run a suspected task before it gets other tasks.
-TRIAL_SECONDS = 1.0
 #: Seconds for which a worker must list a run that is no suspect any more. A task that
 #: crashes its worker does so shortly after its start.
 _SOUND_SECONDS = 2.0
@@ -64,6 +62,7 @@
         task = jobs.find_task(run.task_id)
         if task is None or task.job.status.final or task.state is TaskState.DONE:
             continue
+        task.suspects = len(crash.suspects)
         if crash.worker in task.crashed_on or run.run <= task.acquitted_through:
             continue
         if run.run <= task.sound_run:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -332,6 +332,9 @@
     sound_run : int
         Number of the latest run that its worker has listed for a while, see
         ``record_sound_run``.
+    suspects : int
+        Number of tasks suspected of the latest crash under the task, itself included;
+        0 if that is not known.
     suspicion : Suspicion or None
         Latest stop of a run that seemed to have stalled, until the progress of a later
         run confirms or refutes that it had.
@@ -370,6 +373,7 @@
     progress: RunProgress = attrs.field(factory=RunProgress)
     listed_checkpoint: str = ""
     sound_run: int = 0
+    suspects: int = 0
     suspicion: Suspicion | None = None
     starved_since: float = 0.0
     use: float = 0.0
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -48,6 +48,8 @@
 _AVOIDED_PENALTY = 2.0
 #: Obstacle of a VM whose free resources are too small.
 NO_ROOM = "room"
+#: Obstacle of a VM on which other tasks are on trial.
+_TRIAL = "trial"
 #: Obstacle of a VM whose free resources are kept for another task.
 _RESERVED = "reserved room"
 #: Obstacle that depends on the other tasks of the task's step, not on its demand.
@@ -236,8 +238,8 @@
         return "service"
     if step.label and step.label not in vm.labels:
         return "label"
-    if vm.trial is not None:
-        return "trial"
+    if not vm.trial.admits(task):
+        return _TRIAL
     if not vm.has_room_for(step.reserved):
         return NO_ROOM
     if step.fills and vm.cpu_load >= _MAX_BEST_EFFORT_LOAD:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -13,11 +13,12 @@
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.placement import Placement
 from pollenkeel_jobs.core.reservations import Reservations
+from pollenkeel_jobs.core.trials import is_tried_apart
 from pollenkeel_jobs.core.unplaceable import StepKey, Unplaceable, get_step
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_jobs.core.waiting import DemandKind
 
-#: Share of the VMs that may have a task on trial (``Vm.trial``) at the same time.
+#: Share of the VMs that may have tasks on trial (``Vm.trial``) at the same time.
 _MAX_TRIAL_SHARE = 0.25
 #: Number of steps for which tickets are requested although no VM has room for them.
 _MAX_STEPS_AHEAD = 50
@@ -97,10 +98,11 @@
         unplaceable = Unplaceable(self._placement, vms)
         candidates: Candidates | None = None
         for kind, task in self._iterate_placeable(unplaceable, vms, now):
-            if task.crashed_on and not _may_begin_trial(vms):
-                unplaceable.trials = True
+            if task.crashed_on and not _may_try(task, vms):
+                if is_tried_apart(task):
+                    unplaceable.add_crashes(task)
                 continue
-            if unplaceable.rules_out(kind):
+            if not is_tried_apart(task) and unplaceable.rules_out(kind):
                 self._unplaced_by_kind.setdefault(kind, task)
                 self._filter_by_ticket(task, vms)
                 continue
@@ -122,7 +124,7 @@
             task = reservation.task
             if reservation.vm not in vms:
                 continue
-            if task.crashed_on and not _may_begin_trial(vms):
+            if task.crashed_on and not _may_try(task, vms):
                 continue
             self._reservations.remove(reservation)
             allowed = self._filter_by_ticket(task, [reservation.vm])
@@ -141,7 +143,7 @@
         waiting = self._jobs.ready
         steps_ahead: set[StepKey] = set()
         for _, _, task, kind in waiting.list_by_urgency(now):
-            if kind in unplaceable.kinds:
+            if kind in unplaceable.kinds and not is_tried_apart(task):
                 if kind.advised and len(steps_ahead) < _MAX_STEPS_AHEAD:
                     step = get_step(task)
                     if step not in steps_ahead:
@@ -186,9 +188,12 @@
         return [Placed(member, vm, run, checkpoint) for member, vm in chosen.items()]
 
 
-def _may_begin_trial(vms: list[Vm]) -> bool:
-    trials = sum(vm.trial is not None for vm in vms)
-    return trials < max(1.0, _MAX_TRIAL_SHARE * len(vms))
+def _may_try(task: Task, vms: list[Vm]) -> bool:
+    """Return whether a suspected task may begin a trial or join one."""
+    on_trial = [vm for vm in vms if vm.trial]
+    if len(on_trial) < max(1.0, _MAX_TRIAL_SHARE * len(vms)):
+        return True
+    return any(vm.trial.admits(task) for vm in on_trial)
 
 
 def _place_task(task: Task, candidates: Candidates) -> list[Placed]:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -6,11 +6,7 @@
 
 import logbook
 
-from pollenkeel_jobs.core.crashes import (
-    TRIAL_SECONDS,
-    record_crash,
-    record_sound_run,
-)
+from pollenkeel_jobs.core.crashes import record_crash, record_sound_run
 from pollenkeel_jobs.core.fleet import Fleet
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
@@ -126,8 +122,7 @@
             update_run(vm, task, running, report.paced, now)
             self._stalls.judge(vm, task, now)
             record_sound_run(self._jobs, vm, task)
-            if vm.trial is task and now - task.seen_at >= TRIAL_SECONDS:
-                vm.trial = None
+            vm.trial.record_run(task, now)
             if self._stalls.has_stalled(vm, task):
                 self._stalls.suspect(vm, task, now)
             if (
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/unplaceable.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/unplaceable.py
@@ -5,11 +5,14 @@
 from pollenkeel_jobs.core.free_room import FreeRoom
 from pollenkeel_jobs.core.model import Job, Task
 from pollenkeel_jobs.core.placement import SPREAD_LIMIT, Placement
+from pollenkeel_jobs.core.trials import is_tried_apart
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_jobs.core.waiting import DemandKind
 
 #: Job, occurrence and number of a step.
 StepKey = tuple[Job, int, int]
+#: Kind of demand, crashes, step if it matters, and whether the task has waited long.
+_SuspectKey = tuple[DemandKind, frozenset[str], StepKey | None, bool]
 
 
 class Unplaceable:
@@ -26,23 +29,30 @@
     ----------
     kinds : set of DemandKind
         Kinds of demand that fit on no VM.
-    trials : bool
-        Whether no further task that may have crashed workers may be placed.
     """
 
     def __init__(self, placement: Placement, vms: list[Vm]) -> None:
         self.kinds: set[DemandKind] = set()
-        self.trials = False
         self._placement = placement
         self._vms = vms
         self._free_room = FreeRoom(vms)
         self._kinds_not_waited_long: set[DemandKind] = set()
         self._steps: set[StepKey] = set()
+        self._crashes: set[frozenset[str]] = set()
+        self._suspects: set[_SuspectKey] = set()
 
     def contains(self, kind: DemandKind, task: Task) -> bool:
-        """Return whether a task fits on no VM, given that its kind may fit."""
+        """Return whether a task fits on no VM, as far as is known.
+
+        A suspected task may fit on a VM with others on trial, where no other task does.
+        """
+        if is_tried_apart(task):
+            return (
+                frozenset(task.crashed_on) in self._crashes
+                or self._make_suspect_key(kind, task) in self._suspects
+            )
         return (
-            (self.trials and bool(task.crashed_on))
+            kind in self.kinds
             or (
                 kind in self._kinds_not_waited_long
                 and not self._placement.has_waited_long(task)
@@ -50,6 +60,21 @@
             or (bool(self._steps) and get_step(task) in self._steps)
         )
 
+    def _make_suspect_key(self, kind: DemandKind, task: Task) -> _SuspectKey:
+        """Return what suspects have in common of which all or none find a VM."""
+        step = task.step
+        has_obstacle_of_its_own = kind.advised or step.spread_limit
+        return (
+            kind,
+            frozenset(task.crashed_on),
+            get_step(task) if has_obstacle_of_its_own else None,
+            self._placement.has_waited_long(task),
+        )
+
+    def add_crashes(self, task: Task) -> None:
+        """Add all suspects of the same crashes, as no more may be tried now."""
+        self._crashes.add(frozenset(task.crashed_on))
+
     def rules_out(self, kind: DemandKind) -> bool:
         """Return whether a kind fits on no VM, without a look at each VM."""
         if self._free_room.rules_out(kind):
@@ -66,7 +91,9 @@
         task : Task
             The task.
         """
-        if self._has_obstacle_of_its_own(kind, task):
+        if is_tried_apart(task):
+            self._suspects.add(self._make_suspect_key(kind, task))
+        elif self._has_obstacle_of_its_own(kind, task):
             self._steps.add(get_step(task))
         elif kind.best_effort and not self._placement.has_waited_long(task):
             self._kinds_not_waited_long.add(kind)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -9,6 +9,7 @@
 
 from pollenkeel_jobs.core.messages import TaskProfile
 from pollenkeel_jobs.core.model import Demand, Task
+from pollenkeel_jobs.core.trials import Trial
 
 #: Seconds after the last report with run lists for which a VM gets new tasks.
 REPORT_VALID_SECONDS = 1.2
@@ -90,9 +91,9 @@
         placement are not included.
     has_unknown_runs : bool
         Whether the worker lists a run of an unknown job, whose demand is unknown too.
-    trial : Task or None
-        Placed task that may have crashed workers. Until it has run for a while, the VM
-        gets no other tasks, which a further crash would end or bring under suspicion.
+    trial : Trial
+        Placed tasks that may have crashed workers. Until they have run for a while, the
+        VM gets no others, which a further crash would end or bring under suspicion.
     best_effort_use_by_task : dict of str to float
         CPU that each best-effort task uses, in thousandths of a core; what it declares
         until there are measurements.
@@ -136,7 +137,7 @@
     reserved_demand: Demand = attrs.field(factory=Demand)
     unplaced_demand: Demand = attrs.field(factory=Demand)
     has_unknown_runs: bool = False
-    trial: Task | None = None
+    trial: Trial = attrs.field(factory=Trial)
     best_effort_use_by_task: dict[str, float] = attrs.field(factory=dict)
     tasks_by_id: dict[str, Task] = attrs.field(factory=dict)
     serving_cpu: int = 0
@@ -218,8 +219,7 @@
         self.tasks_by_id[task.task_id] = task
         self.profiles_by_task[task.task_id] = make_profile(task)
         self.reserved_demand += step.reserved
-        if task.crashed_on and not step.gang:
-            self.trial = task
+        self.trial.add(task)
         if step.fills:
             self.best_effort_use_by_task[task.task_id] = step.demand.cpu
             self.best_effort_cpu_by_image[step.image] += step.demand.cpu
@@ -231,8 +231,7 @@
         """Remove a task and free its resources; does nothing if it is not here."""
         if self.tasks_by_id.pop(task.task_id, None) is None:
             return
-        if self.trial is task:
-            self.trial = None
+        self.trial.remove(task)
         step = task.step
         del self.profiles_by_task[task.task_id]
         self.reserved_demand -= step.reserved
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/waiting.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/waiting.py
@@ -101,7 +101,7 @@
         self._kinds_by_task[task] = kind
         if task.step.long_running:
             self.long_running[task] = None
-        entries = self._entries_by_priority.setdefault(_get_priority(task), [])
+        entries = self._entries_by_priority.setdefault(get_priority(task), [])
         insort(entries, _make_entry(task, kind))
 
     def discard(self, task: Task) -> None:
@@ -113,10 +113,10 @@
         self._counts_by_kind[kind] -= 1
         if not self._counts_by_kind[kind]:
             del self._counts_by_kind[kind], self._kinds[kind]
-        entries = self._entries_by_priority[_get_priority(task)]
+        entries = self._entries_by_priority[get_priority(task)]
         del entries[bisect_left(entries, _make_entry(task, kind))]
         if not entries:
-            del self._entries_by_priority[_get_priority(task)]
+            del self._entries_by_priority[get_priority(task)]
 
     def get_kind(self, task: Task) -> DemandKind:
         """Return the kind of a waiting task's demand."""
@@ -142,7 +142,8 @@
         return ordered
 
 
-def _get_priority(task: Task) -> int:
+def get_priority(task: Task) -> int:
+    """Return the priority of a task's queue; lower ones come first."""
     return task.job.spec.queue.priority
 
 
--- a/packages/pollenkeel-jobs/tests/core/test_waiting.py
+++ b/packages/pollenkeel-jobs/tests/core/test_waiting.py
@@ -63,8 +63,10 @@
         for task in sorted(self.jobs.ready, key=lambda task: order(task, now)):
             if task not in self.jobs.ready:
                 continue
-            trials = sum(vm.trial is not None for vm in self.vms)
-            if task.crashed_on and trials >= max(1.0, 0.25 * len(self.vms)):
+            on_trial = [vm for vm in self.vms if vm.trial]
+            may_begin = len(on_trial) < max(1.0, 0.25 * len(self.vms))
+            may_join = any(vm.trial.admits(task) for vm in on_trial)
+            if task.crashed_on and not may_begin and not may_join:
                 continue
             chosen = {}
             if task.step.gang:
--- a/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
@@ -271,6 +271,67 @@
     assert len(other.running) > 1
 
 
+def crash_beside(play, *names, tasks=5, **fields):
+    """Crash a worker that has just started some jobs; its agent suspects them all."""
+    first, *others = play.site.vms
+    first.capacity = Demand(10**6, 10**6)
+    for vm in others:
+        vm.draining = True
+    for name in names:
+        play.site.scheduler.add_job(make_job(name, (make_step(tasks, **fields),)))
+    play.site.step()
+    assert len(first.running) == len(names) * tasks
+    first.crash(*(RunKey(run.task_id, run.run) for run in first.running))
+    for vm in others:
+        vm.draining = False
+
+
+@pytest.mark.parametrize("jobs", [11, 44])
+def test_many_suspects_of_one_crash_run_again_soon(clock, jobs):
+    """Guards against innocent jobs that wait a minute to be tried one by one.
+
+    Seen with soak seeds 1, 3 and 229: 55 and 221 suspects on three VMs.
+    """
+    play = CrashPlay(clock, [], vms=3)
+    for vm in play.site.vms:
+        vm.capacity = Demand(10**6, 10**6)
+    names = [f"lasting{number}" for number in range(jobs)]
+    crash_beside(play, *names, long_running=True)
+    for _ in range(int(30.0 / STEP_SECONDS)):
+        play.step()
+    assert len(play.site.running) == jobs * 5
+
+
+def test_task_that_crashes_workers_is_found_in_a_group_of_suspects(clock):
+    """Guards against innocent tasks that are given up with those tried beside them."""
+    bad = "j4.0.0.2"
+    play = CrashPlay(clock, [bad], vms=3)
+    names = [f"j{number}" for number in range(11)]
+    crash_beside(play, *names)
+    play.starts_by_task[bad] += 1
+    for _ in range(int(60.0 / STEP_SECONDS)):
+        play.step()
+    statuses = {name: play.site.scheduler.find_status(name) for name in names}
+    assert statuses.pop("j4") is JobStatus.FAILED
+    assert set(statuses.values()) == {JobStatus.DONE}
+    assert play.starts_by_task[bad] <= MAX_STARTS
+
+
+def test_suspects_of_two_crashes_are_tried_alone(clock):
+    site = Site(clock, vms=2)
+    site.scheduler.add_job(make_job(steps=(make_step(3),)))
+    vm, other = site.vms
+    other.draining = True
+    site.step()
+    for _ in range(2):
+        holder = next(vm for vm in site.vms if vm.running)
+        assert len(holder.running) == 3
+        holder.crash(*(RunKey(run.task_id, run.run) for run in holder.running))
+        other.draining = False
+        replace_lost_runs(site)
+    assert len(site.running) == 1
+
+
 def test_worker_that_nothing_listens_for_gets_no_starts(clock):
     """Guards against hundreds of refused starts after the crash of a worker."""
     site = Site(clock)
