Place suspects of a crash after the other tasks of their priority

Cause: a trial keeps a VM from all other tasks. The suspects' jobs were older than the waiting ones, so each pass that found the VM free began the next trial, and 19 jobs waited for all trials.

Change: within a priority, suspects are placed last, so that the waiting tasks go first whenever a trial ends, and the trial goes on beside them.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -16,7 +16,7 @@
 from pollenkeel_jobs.core.trials import is_tried_apart
 from pollenkeel_jobs.core.unplaceable import StepKey, Unplaceable, get_step
 from pollenkeel_jobs.core.vms import Vm
-from pollenkeel_jobs.core.waiting import DemandKind
+from pollenkeel_jobs.core.waiting import DemandKind, WaitingTasks, get_priority
 
 #: Share of the VMs that may have tasks on trial (``Vm.trial``) at the same time.
 _MAX_TRIAL_SHARE = 0.25
@@ -142,7 +142,7 @@
         """
         waiting = self._jobs.ready
         steps_ahead: set[StepKey] = set()
-        for _, _, task, kind in waiting.list_by_urgency(now):
+        for task, kind in _list_suspects_last(waiting, now):
             if kind in unplaceable.kinds and not is_tried_apart(task):
                 if kind.advised and len(steps_ahead) < _MAX_STEPS_AHEAD:
                     step = get_step(task)
@@ -188,6 +188,26 @@
         return [Placed(member, vm, run, checkpoint) for member, vm in chosen.items()]
 
 
+def _list_suspects_last(
+    waiting: WaitingTasks, now: float
+) -> Iterator[tuple[Task, DemandKind]]:
+    """Yield the waiting tasks by urgency, but suspects after the others.
+
+    A trial keeps a VM from the others, which would wait for all suspects if there is no
+    other VM. Only a lower priority comes later than suspects.
+    """
+    suspects: list[tuple[Task, DemandKind]] = []
+    for _, _, task, kind in waiting.list_by_urgency(now):
+        if suspects and get_priority(task) != get_priority(suspects[0][0]):
+            yield from suspects
+            suspects = []
+        if is_tried_apart(task):
+            suspects.append((task, kind))
+        else:
+            yield task, kind
+    yield from suspects
+
+
 def _may_try(task: Task, vms: list[Vm]) -> bool:
     """Return whether a suspected task may begin a trial or join one."""
     on_trial = [vm for vm in vms if vm.trial]
--- a/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
@@ -302,6 +302,25 @@
     assert len(play.site.running) == jobs * 5
 
 
+def test_suspects_keep_no_other_task_waiting_for_all_of_them(clock):
+    """Guards against jobs that wait for every trial where there is one usable VM.
+
+    Seen with soak seed 1: the other VMs were in a closed zone and in quarantine.
+    """
+    play = CrashPlay(clock, [], vms=3)
+    names = [f"lasting{number}" for number in range(11)]
+    crash_beside(play, *names, long_running=True)
+    for vm in play.site.vms[1:]:
+        vm.draining = True
+    play.step()
+    clock.advance(10.0)
+    late = make_job("j1", (make_step(3),), accepted_at=clock.now() - 5.0)
+    play.site.scheduler.add_job(late)
+    for _ in range(int(5.0 / STEP_SECONDS)):
+        play.step()
+    assert play.site.scheduler.find_status("j1") is JobStatus.DONE
+
+
 def test_task_that_crashes_workers_is_found_in_a_group_of_suspects(clock):
     """Guards against innocent tasks that are given up with those tried beside them."""
     bad = "j4.0.0.2"
