Keep hopeless jobs from putting sound workers into quarantine

Change: a quarantine grows only by a probe, and only by a task that has not failed there before. A failure of a task that has failed on another worker as well does not count, and its earlier ones are retracted.

Ruled out: counting by task in place of job (the retries of one job are what filled the probes).

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -240,8 +240,17 @@
             self._control.requeue(task, ended.how)
 
     def _record_vm_result(self, vm: Vm, task: Task, failed: bool, now: float) -> None:
-        """Update the worker's quarantine and the VM's slowness from an ended run."""
-        self._fleet.quarantine.record(vm.incarnation, task.job.spec.job_id, failed, now)
+        """Update the worker's quarantine and the VM's slowness from an ended run.
+
+        A task that has failed on another worker as well fails by its own fault.
+        """
+        quarantine, job_id = self._fleet.quarantine, task.job.spec.job_id
+        others = task.failed_on - {vm.incarnation}
+        if failed and others:
+            for worker in others:
+                quarantine.retract(worker, job_id)
+        else:
+            quarantine.record(vm.incarnation, job_id, failed, now)
         if not failed:
             self._speeds.observe(vm, task, now)
             self._stalls.judge_done(vm, task, now)
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/policy/quarantine.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/policy/quarantine.py
@@ -16,6 +16,10 @@
     def record(self, vm: str, task_id: str, failed: bool, now: float) -> None:
         """Record the end of a task on a VM."""
 
+    @abstractmethod
+    def retract(self, vm: str, task_id: str) -> None:
+        """Drop the failure of a task that has also failed on another VM."""
+
     @abstractmethod
     def allowed(self, vm: str, now: float) -> bool:
         """Return whether tasks may be started on a VM."""
@@ -35,6 +39,9 @@
     def record(self, vm: str, task_id: str, failed: bool, now: float) -> None:
         """Ignore the end of a task."""
 
+    def retract(self, vm: str, task_id: str) -> None:
+        """Ignore that a failure does not count."""
+
     def allowed(self, vm: str, now: float) -> bool:
         """Return True."""
         return True
@@ -45,9 +52,24 @@
 
 @attrs.define
 class _VmRecord:
+    """Failures of a VM since its latest success.
+
+    Attributes
+    ----------
+    failed_tasks : set of str
+        Tasks that have failed.
+    probe_after : float
+        Time from which a task may be started, in seconds since the Unix epoch.
+    pause : float
+        Time between probes in seconds; 0 if the VM is not quarantined.
+    probing : bool
+        Whether a probe has been started since the latest failure that counts.
+    """
+
     failed_tasks: set[str] = attrs.field(factory=set)
     probe_after: float = 0.0
     pause: float = 0.0
+    probing: bool = False
 
 
 @QUARANTINES.register("consecutive")
@@ -55,8 +77,9 @@
     """Quarantines a VM after consecutive failures of different tasks.
 
     After a pause, one task is started as a probe. If it succeeds, the quarantine ends;
-    if it fails, the pause is doubled. If it has no result within the pause, another
-    probe is started.
+    if it fails, the pause is doubled. A task that has failed there before is no proof
+    against the VM, so its failure leaves the pause as it is. If a probe has no result
+    within the pause, another one is started.
 
     Parameters
     ----------
@@ -80,11 +103,29 @@
             self._records_by_vm.pop(vm, None)
             return
         record = self._records_by_vm.setdefault(vm, _VmRecord())
+        is_known = task_id in record.failed_tasks
         record.failed_tasks.add(task_id)
-        if len(record.failed_tasks) >= self._failures:
-            longer = min(record.pause * 2, self._longest_pause)
-            record.pause = longer or self._pause
-            record.probe_after = now + record.pause
+        if len(record.failed_tasks) < self._failures:
+            return
+        if not record.pause:
+            record.pause = self._pause
+        elif not record.probing:
+            # The task was started before the quarantine.
+            return
+        elif not is_known:
+            record.pause = min(record.pause * 2, self._longest_pause)
+        record.probing = False
+        record.probe_after = now + record.pause
+
+    def retract(self, vm: str, task_id: str) -> None:
+        """Drop a task's failure, and the quarantine if too few others remain."""
+        record = self._records_by_vm.get(vm)
+        if record is None:
+            return
+        record.failed_tasks.discard(task_id)
+        if len(record.failed_tasks) < self._failures:
+            record.pause = record.probe_after = 0.0
+            record.probing = False
 
     def allowed(self, vm: str, now: float) -> bool:
         """Return whether the VM is not quarantined or is due for a probe."""
@@ -95,4 +136,5 @@
         """Block further starts on a quarantined VM while its probe may still run."""
         record = self._records_by_vm.get(vm)
         if record is not None and record.pause:
+            record.probing = True
             record.probe_after = now + record.pause
