Convict no task by two crashes of workers that may not have begun it

A worker that goes silent is noticed after up to 1.4 s. A start that is sent meanwhile gets no response, and when the worker is back the agent named this run as the only suspect, although the worker had been down before; the run that it did receive 0.6 s earlier was not named.

Change: the agent knows which starts a worker has responded to, by an answer, a broken connection or its lists. It suspects the runs within 0.5 s of the latest of these and all later ones, and says whether all of them were received. If not, a task is given up at the third crash, as beside other suspects, and not at the second.

Ruled out: not counting starts without a response at all. A task that takes its whole VM down would crash one worker after the other (BUDGET).

Evidence: three tests of test_worker_crashes.py; before, only the run that was never received was suspected, and the job failed at the second crash.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -211,6 +211,9 @@
                 state.starts.record(run, self._clock.now())
             state.profiles_by_task[start.task_id] = start.profile
         result = self._worker.start(order, start, payload, message.deadline)
+        if not isinstance(result, Err) or not result.err_value.timed_out:
+            with self._lock:
+                state.starts.confirm(run)
         if isinstance(result, Err):
             failure = result.err_value
             if failure.refused or failure.born:
@@ -347,6 +350,8 @@
             state.clock, state.listed_at = lists.clock, self._clock.now()
             state.first_ended = min((e.number for e in lists.ended), default=math.inf)
             state.starts.forget((end.task_id, end.run) for end in lists.ended)
+            for listed in lists.running:
+                state.starts.confirm((listed.task_id, listed.run))
         # Only the polls of ``run`` adjust speed caps, not the one for a new leader.
         if seconds:
             self._update_paces(state, order, lists)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
@@ -15,7 +15,8 @@
 logger = logbook.Logger("scheduler")
 
 #: Number of crashes of workers after which a task is given up: if it was the only one
-#: that had just been started at the last crash, and if there were others.
+#: that had just been started at the last crash, and if there were others or the worker
+#: may have crashed before it received the start.
 _MAX_CRASHES_ALONE = 2
 _MAX_CRASHES = 3
 #: Seconds for which a worker must list a run that is no suspect any more. A task that
@@ -71,7 +72,7 @@
         task.crashed_on.add(crash.worker)
         jobs.dirty[task.job] = None
         crashes = len(task.crashed_on)
-        alone = len(crash.suspects) == 1
+        alone = len(crash.suspects) == 1 and crash.began
         given_up = crashes >= (_MAX_CRASHES_ALONE if alone else _MAX_CRASHES)
         log_change(
             logger,
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -200,10 +200,13 @@
         Incarnation that has ended.
     suspects : list of RunKey
         Runs that were started shortly before and may have crashed it.
+    began : bool
+        Whether the worker is known to have received the starts of all suspects.
     """
 
     worker: str
     suspects: list[RunKey] = attrs.field(factory=list)
+    began: bool = True
 
 
 @attrs.frozen
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker.py
@@ -78,12 +78,15 @@
     born : int
         Start time of the other incarnation, in milliseconds since the Unix epoch; 0 if
         it is not known.
+    timed_out : bool
+        The worker did not respond in any way, so it may be down since before the call.
     """
 
     refused: bool
     reason: str
     answered_by_other: bool = False
     born: int = 0
+    timed_out: bool = False
 
 
 @attrs.frozen
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
@@ -287,14 +287,17 @@
 
     def _record_crash(self, state: WorkerState) -> None:
         """Record that a worker has ended without an announcement."""
-        suspects = [RunKey(*run) for run in state.starts.find_latest()]
+        runs = state.starts.find_suspects()
+        began = state.starts.is_confirmed(runs)
+        suspects = [RunKey(*run) for run in runs]
         worker = self.get_vm_incarnation(state)
-        self.crashes.append(WorkerCrash(worker, suspects))
+        self.crashes.append(WorkerCrash(worker, suspects, began))
         log_change(
             logger,
             "worker crashed",
             worker=worker,
             suspects=[f"{run.task_id}:{run.run}" for run in suspects],
+            began=began,
         )
 
     def record_departure(self, worker_id: str, born: int) -> None:
--- a/packages/pollenkeel-jobs/tests/agent_doubles.py
+++ b/packages/pollenkeel-jobs/tests/agent_doubles.py
@@ -56,7 +56,8 @@
 
     def _answer(self, order, value):
         if not self.answers:
-            return Err(WorkerFailure(not self.listens, "connection failed"))
+            listens = self.listens
+            return Err(WorkerFailure(not listens, "no response", timed_out=listens))
         if order.worker_id != self.worker_id:
             return Err(WorkerFailure(True, "421", True))
         if order.born != self.born:
--- a/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
@@ -4,10 +4,10 @@
 
 import attrs
 import pytest
-from agent_doubles import LISTED_AT, order_starts, poll, restart
+from agent_doubles import EPOCH, LISTED_AT, order_starts, poll, restart
 from jobs_doubles import Site, make_job
 
-from pollenkeel_jobs.core.messages import EndedTask, RunKey, WorkerCrash
+from pollenkeel_jobs.core.messages import EndedTask, RunKey, RunningTask, WorkerCrash
 from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
 from pollenkeel_jobs.core.names import PROGRESS
 from pollenkeel_jobs.core.records import encode_job
@@ -387,6 +387,53 @@
     assert find_suspects(agent, reports) == [["bad.0.0.0"]]
 
 
+def test_start_without_any_response_may_have_come_after_the_crash(
+    agent, clock, worker, reports
+):
+    """Guards against suspicion of a run alone that its worker never received."""
+    restart(agent, worker, 1)
+    order_starts(agent, "before.0.0.0")
+    clock.advance(0.9)
+    worker.answers = False
+    order_starts(agent, "after.0.0.0")
+    worker.answers = True
+    restart(agent, worker, 2)
+    assert find_suspects(agent, reports) == [["before.0.0.0", "after.0.0.0"]]
+    assert not reports[-1].crashes[0].began
+
+
+def test_worker_is_known_to_have_received_what_it_lists(agent, worker, reports):
+    restart(agent, worker, 1)
+    agent._epoch = EPOCH
+    worker.answers = False
+    order_starts(agent, "bad.0.0.0")
+    worker.answers = True
+    worker.lists = WorkerLists(LISTED_AT, [RunningTask("bad.0.0.0", 1)], [])
+    poll(agent)
+    restart(agent, worker, 2)
+    assert find_suspects(agent, reports) == [["bad.0.0.0"]]
+    assert reports[-1].crashes[0].began
+
+
+@pytest.mark.parametrize("began, crashes", [(True, 2), (False, 3)])
+def test_task_that_may_not_have_begun_is_given_up_later(clock, began, crashes):
+    """Guards against an innocent job that is given up for two silent workers (LOST)."""
+    site = Site(clock, vms=4)
+    site.scheduler.add_job(make_job(steps=(make_step(),)))
+    site.step()
+    for _ in range(crashes):
+        assert site.scheduler.find_status("j1") is not JobStatus.FAILED
+        holder = next(vm for vm in site.vms if vm.running)
+        run = holder.running[0]
+        crash = WorkerCrash(
+            holder.incarnation, [RunKey(run.task_id, run.run)], began=began
+        )
+        holder.crash()
+        holder.crashes.append(crash)
+        replace_lost_runs(site)
+    assert site.scheduler.find_status("j1") is JobStatus.FAILED
+
+
 def test_worker_that_leaves_has_not_crashed(agent, worker, reports):
     """Guards against suspicion after a planned restart of a worker."""
     restart(agent, worker, 1)
