--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/policy/regression.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/policy/regression.py
@@ -54,6 +54,19 @@
         self._weights[index] = weight
         self._covariance[index][index] = uncertainty
 
+    def drop(self, name: str) -> None:
+        """Forget a feature; does nothing if it is unknown."""
+        index = self._index_by_name.pop(name, None)
+        if index is None:
+            return
+        for other, other_index in self._index_by_name.items():
+            if other_index > index:
+                self._index_by_name[other] = other_index - 1
+        del self._weights[index]
+        del self._covariance[index]
+        for row in self._covariance:
+            del row[index]
+
     def update(self, features: dict[str, float], value: float) -> None:
         """Update the model with one observation.
 
--- a/packages/pollenkeel-kernel/tests/policy/test_regression.py
+++ b/packages/pollenkeel-kernel/tests/policy/test_regression.py
@@ -21,3 +21,20 @@
         assert abs(model.weight("first")) < 1.0
     assert model.weight("first") == pytest.approx(0.2, abs=0.05)
     assert model.weight("second") == pytest.approx(0.05, abs=0.05)
+
+
+def test_dropped_feature_leaves_the_others_as_they_were():
+    model = RecursiveLeastSquares(0.999)
+    for name in ("first", "second", "third"):
+        model.update({name: 1.0}, {"first": 1.0, "second": 2.0, "third": 3.0}[name])
+    before = {name: model.weight(name) for name in ("first", "third")}
+    model.drop("second")
+    model.drop("unknown")
+    assert model.weight("second") == 0.0
+    assert {name: model.weight(name) for name in before} == before
+    for _ in range(200):
+        model.update({"third": 1.0, "fourth": 1.0}, 5.0)
+        model.update({"third": 1.0}, 3.0)
+    assert model.weight("third") == pytest.approx(3.0, abs=0.05)
+    assert model.weight("fourth") == pytest.approx(2.0, abs=0.05)
+    assert model.weight("first") == before["first"]
