--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 
 types: $(STAMP)
 	$(BIN)/mypy
+	$(BIN)/mypy benchmarks scripts
 
 tests: $(STAMP)
 	PYTHONPATH=standins $(BIN)/python -m pytest -n 6 --dist worksteal -rxX
--- a/benchmarks/fair_shares.py
+++ b/benchmarks/fair_shares.py
@@ -106,6 +106,7 @@
         while ends and ends[0][0] <= now:
             key = heapq.heappop(ends)[1]
             task = state.tasks_by_key[key]
+            assert task.attempt is not None
             vm = vms_by_id[task.attempt.agent_id]
             vm.free = vm.free + task.spec.resources
             apply(ev.AttemptEnded(key, 1, rec.DONE, 1000), state)
@@ -119,9 +120,9 @@
                 from_busy = start.key.startswith(BUSY)
                 starts += 1
                 others_starts += not from_busy
-                job = state.jobs_by_id[state.tasks_by_key[start.key].job_id]
+                started = state.jobs_by_id[state.tasks_by_key[start.key].job_id]
                 if not from_busy:
-                    waits.append(now - job.submitted_at)
+                    waits.append(now - started.submitted_at)
         cores_by_team = {team: 0.0 for team in TEAMS}
         for _, key in ends:
             cores_by_team[key.split("-")[0]] += 2.0
--- a/benchmarks/fake_upstreams.py
+++ b/benchmarks/fake_upstreams.py
@@ -5,13 +5,15 @@
 import collections
 import random
 import threading
+from collections.abc import Iterable
+from typing import cast
 
 import attrs
 from result import Err
 
 from pollenkeel_entry.core.config_source import ConfigSource
 from pollenkeel_entry.core.context import EntryContext
-from pollenkeel_entry.core.membership import AgentRecord
+from pollenkeel_entry.core.membership import AgentRecord, AgentTable
 from pollenkeel_entry.requests.admission import Admission
 from pollenkeel_entry.requests.request import ServiceRequest
 from pollenkeel_entry.requests.router import Router
@@ -27,11 +29,16 @@
 from pollenkeel_kernel.core.dump import StateDump
 from pollenkeel_kernel.core.messages import Announce, Resources, UpstreamStatus
 from pollenkeel_kernel.core.settings import EntrySettings, StoreSettings
+from pollenkeel_kernel.core.transport import PeerClient
 from pollenkeel_kernel.policy.request_share import REQUEST_SHARES
+from pollenkeel_kernel.store.base import Backend
 
 CLOCK = SystemClock()
 SERVICE = "desk"
 ANNOUNCE_INTERVAL = 1.0
+#: The benchmarks neither call agents nor use the table service.
+NO_CLIENT = cast(PeerClient, None)
+NO_BACKEND = cast(Backend, None)
 
 
 class FixedConfig(ConfigSource):
@@ -45,7 +52,7 @@
             policy,
         )
 
-    def snapshot(self):
+    def snapshot(self) -> None:
         """Return None; the router and admission do not use it."""
 
     def effective(self) -> ClusterConfig:
@@ -90,12 +97,13 @@
         )  # fmt: skip
 
 
-class AgentList:
+class AgentList(AgentTable):
     """Agent table of an entry, without clients."""
 
     def __init__(self, upstreams: list[FakeUpstream]) -> None:
         self._records = {
-            u.name: AgentRecord(u.announce(), None, float("inf")) for u in upstreams
+            u.name: AgentRecord(u.announce(), NO_CLIENT, float("inf"))
+            for u in upstreams
         }
 
     def live(self) -> list[AgentRecord]:
@@ -106,6 +114,10 @@
         """Return the record of an agent, if there is one."""
         return self._records.get(agent_id)
 
+    def get_all(self, agent_ids: Iterable[str]) -> dict[str, AgentRecord]:
+        """Return the records of these agents, by id and in the given order."""
+        return {i: self._records[i] for i in agent_ids if i in self._records}
+
 
 @attrs.define
 class Load:
@@ -162,7 +174,7 @@
         self.policy, self.shares_by_team = policy, shares_by_team
         config = FixedConfig(policy, shares_by_team)
         agents = AgentList(upstreams)
-        context = EntryContext(settings, CLOCK, None, agents, config, StateDump())
+        context = EntryContext(settings, CLOCK, NO_BACKEND, agents, config, StateDump())
         self.router = Router(context, lambda agent_id: False, seed)
         self.admission = Admission(settings.http.threads, 1000)
         self.router.start()
--- a/benchmarks/job_placement.py
+++ b/benchmarks/job_placement.py
@@ -38,7 +38,7 @@
 def make_tasks(step: StepSpec, count: int, job_id: str) -> list[Task]:
     """Return ``count`` jobs' tasks of one step each."""
     queue = QueuePolicy("queue", "desk")
-    tasks = []
+    tasks: list[Task] = []
     for number in range(count):
         job = Job(JobSpec(f"{job_id}{number}", queue, "", (step,)))
         job.add_occurrence(0)
--- a/benchmarks/job_time_loss.py
+++ b/benchmarks/job_time_loss.py
@@ -119,7 +119,7 @@
 def print_kind(kind: str, jobs: list[_JobTime]) -> None:
     """Print the final states of the jobs of a kind and their mean seconds by cause."""
     done = [job for job in jobs if job.status == "done"]
-    not_done_by_status = defaultdict(int)
+    not_done_by_status: dict[str, int] = defaultdict(int)
     for job in jobs:
         if job.status != "done":
             not_done_by_status[job.status or "not ended"] += 1
--- a/benchmarks/leader_reports.py
+++ b/benchmarks/leader_reports.py
@@ -93,7 +93,9 @@
         reports = self.encode_reports()
         began = time.process_time()
         for data in reports:
-            encode(self._scheduler.process_report(decode(data).unwrap(), True))
+            report = decode(data).unwrap()
+            assert isinstance(report, VmReport)
+            encode(self._scheduler.process_report(report, True))
         return (time.process_time() - began) / len(reports)
 
 
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -14,6 +14,7 @@
 
 import attrs
 import click
+from fake_upstreams import NO_CLIENT
 
 from pollenkeel_agent.core.ledger import Ledger
 from pollenkeel_entry.batch import events as ev
@@ -82,7 +83,7 @@
             self.name, now, "e", self.name, "d", "r", "tcp://x", "active", 1,
             [status], VM_SIZE, self.ledger.free(), kinds, True,
         )  # fmt: skip
-        self.record = AgentRecord(message, None, now + 5)
+        self.record = AgentRecord(message, NO_CLIENT, now + 5)
 
     def progress(self) -> float:
         """Return the tasks' relative speed: below 1 if they need too many cores."""
@@ -139,7 +140,8 @@
                 if key.task_id in self.state.tasks_by_key:
                     used = Resources(size.cores * USE_FACTOR[kind], size.memory_gb)
                     self._placement.observe_use(kind, size, used)
-        hints = [self._hints.view(vm.record, SERVICES) for vm in vms.values()]
+        records = [vm.record for vm in vms.values() if vm.record is not None]
+        hints = [self._hints.view(record, SERVICES) for record in records]
         for start in self._planner.plan(self.state, hints, TEAMS, 400).starts:
             task = self.state.tasks_by_key[start.key]
             kind = self.state.jobs_by_id[task.job_id].kind
--- a/benchmarks/progress_rows.py
+++ b/benchmarks/progress_rows.py
@@ -10,7 +10,6 @@
 import argparse
 import random
 import time
-from collections.abc import Iterator
 
 import attrs
 
@@ -19,20 +18,12 @@
 from pollenkeel_jobs.core.model import Demand, JobSpec, JobStatus, QueuePolicy, StepSpec
 from pollenkeel_jobs.core.names import PROGRESS
 from pollenkeel_jobs.core.operations import Operations
+from pollenkeel_jobs.core.progress_rows import join_progress_rows
 from pollenkeel_jobs.core.records import encode_job
 from pollenkeel_jobs.core.scheduler import Scheduler
 from pollenkeel_jobs.core.tables import Row
 from pollenkeel_kernel.core.clock import ManualClock
 
-try:
-    from pollenkeel_jobs.core.progress_rows import join_progress_rows
-except ImportError:
-    # Releases without pages.
-    def join_progress_rows(rows: Iterator[Row]) -> dict[str, bytes]:
-        """Return the progress of each job by its id."""
-        return {row.key: row.value or b"" for row in rows}
-
-
 SEED = 7
 #: Limit of the platform's store.
 ROW_BYTES = 65_536
@@ -122,7 +113,7 @@
                 self.rows_by_key[write.key] = write.value
         self.scheduler.confirm(planned)
         for batch in planned.order_batches:
-            orders, _ = self.scheduler.make_starts(batch.vm, batch.starts)
+            orders = self.scheduler.make_starts(batch.vm, batch.starts).orders
             for order in orders:
                 self._vms_by_name[batch.vm.name].start(order.task_id, order.run)
 
--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -70,9 +70,11 @@
             if task.state == rec.QUEUED:
                 planner.add(task, state)
         at = float(now)
-        plan = planner.plan(
-            state, vms, {}, 100, lambda vm, at=at: quarantine.allowed(vm.agent_id, at)
-        )
+
+        def is_allowed(vm: VmHint, at: float = at) -> bool:
+            return quarantine.allowed(vm.agent_id, at)
+
+        plan = planner.plan(state, vms, {}, 100, is_allowed)
         never_fits += any(code is Code.NEVER_FITS for _, code in plan.waiting)
         for start in plan.starts:
             key, vm = start.key, start.vm
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import gc
 import statistics
 import tempfile
@@ -59,7 +60,7 @@
 #: Tasks on a VM at the design size: 554,000 tasks on 20,000 VMs.
 RUNNING_TASKS = 28
 #: Default intervals of the product; the stand-ins' sites use shorter ones.
-DEFAULT_TIMING = {field.name: field.default for field in attrs.fields(TimingSettings)}
+DEFAULT_TIMING: dict[str, float] = attrs.asdict(TimingSettings())
 
 
 @attrs.frozen
@@ -255,8 +256,8 @@
             submitted = CLOCK.now()
             entry = site.entries[number % len(site.entries)]
             site.submit(entry, f"urgent-{number}", 1, "run 0.1", urgent=True)
-            name = f"urgent-{number}:t0"
-            started = wait_until(lambda n=name: _find_start(cluster, n), 20.0)
+            find_start = functools.partial(_find_start, cluster, f"urgent-{number}:t0")
+            started = wait_until(find_start, 20.0)
             delays.append(started - submitted)
         return sorted(delays)
 
--- a/benchmarks/waiting_jobs.py
+++ b/benchmarks/waiting_jobs.py
@@ -73,7 +73,7 @@
         planned = self.scheduler.plan()
         self.scheduler.confirm(planned)
         for batch in planned.order_batches:
-            orders, _ = self.scheduler.make_starts(batch.vm, batch.starts)
+            orders = self.scheduler.make_starts(batch.vm, batch.starts).orders
             self._running[batch.vm.name] = [
                 RunningTask(order.task_id, order.run) for order in orders
             ]
