Log and measure jobs that have a waiting task and no run

The lines that existed could not tell hypothesis 1 (a best-effort job has no turn of its own) from 2 (suspects of two crashes wait for each other): a suspect that waits for a trial had no line `step waits` at all, and no line said whether a job had any other run.

Change: `step waits` has the number of crashes, and a line for each number of them; `jobs without a run` and two gauges show how many jobs have no run and for how long; `interference recorded` has the cores in use beside the declared ones.

Decisions are unchanged.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from pollenkeel_jobs.core.model import Task
+from pollenkeel_jobs.core.model import Job, Task
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.clock import Clock
@@ -84,6 +84,12 @@
         vm.address = address
         return vm
 
+    def find_busy_jobs(self) -> set[Job]:
+        """Return the jobs with a placed task, also of an earlier leader."""
+        holders = [vm.tasks_by_id for vm in self.vms()]
+        holders += self._orphans_by_incarnation.values()
+        return {task.job for tasks_by_id in holders for task in tasks_by_id.values()}
+
     def add_orphan(self, task: Task) -> None:
         """Keep a task that an earlier leader placed until its worker is known."""
         orphans = self._orphans_by_incarnation.setdefault(task.runner, {})
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
@@ -42,6 +42,16 @@
     buckets=LATENCY_BUCKETS,
     registry=REGISTRY,
 )
+IDLE_JOBS = Gauge(
+    "pollenkeel_idle_jobs",
+    "Jobs with a task that waits for a VM and without a run.",
+    registry=REGISTRY,
+)
+LONGEST_IDLE_SECONDS = Gauge(
+    "pollenkeel_longest_idle_seconds",
+    "Longest time for which a job has had a waiting task and no run.",
+    registry=REGISTRY,
+)
 COMMIT_SECONDS = Histogram(
     "pollenkeel_commit_seconds",
     "Duration of the leader's transactions, with their retries.",
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement_log.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement_log.py
@@ -77,6 +77,7 @@
                 task=task.task_id,
                 waited=round(now - task.ready_at, 2),
                 best_effort=task.step.fills,
+                crashes=len(task.crashed_on),
                 obstacles=dict(counts),
             )
 
@@ -118,4 +119,8 @@
             vm.name: round(sum(vm.best_effort_cpu_by_image.values()) / milli, 1)
             for vm in vms
         },
+        best_effort_use_by_vm={
+            vm.name: round(sum(vm.best_effort_use_by_task.values()) / milli, 1)
+            for vm in vms
+        },
     )
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -64,7 +64,8 @@
         placement: Placement,
         reservations: Reservations,
     ) -> None:
-        self._unplaced_by_kind: dict[DemandKind, Task] = {}
+        # By kind of demand and number of crashes.
+        self._unplaced_by_kind: dict[tuple[DemandKind, int], Task] = {}
         self._jobs = jobs
         self._tickets = tickets
         self._placement = placement
@@ -72,7 +73,10 @@
 
     @property
     def unplaced(self) -> Iterable[Task]:
-        """One task of each kind of demand that found no VM in the latest pass."""
+        """One task of each kind of demand that found no VM in the latest pass.
+
+        Of tasks that may have crashed workers, there is one for each number of crashes.
+        """
         return self._unplaced_by_kind.values()
 
     def place(self, vms: list[Vm], now: float) -> Iterator[Placed]:
@@ -99,11 +103,12 @@
         candidates: Candidates | None = None
         for kind, task in self._iterate_placeable(unplaceable, vms, now):
             if task.crashed_on and not _may_try(task, vms):
+                self._record_unplaced(kind, task)
                 if is_tried_apart(task):
                     unplaceable.add_crashes(task)
                 continue
             if not is_tried_apart(task) and unplaceable.rules_out(kind):
-                self._unplaced_by_kind.setdefault(kind, task)
+                self._record_unplaced(kind, task)
                 self._filter_by_ticket(task, vms)
                 continue
             if task.step.gang:
@@ -116,7 +121,10 @@
                 yield from placements
             else:
                 unplaceable.add(kind, task)
-                self._unplaced_by_kind.setdefault(kind, task)
+                self._record_unplaced(kind, task)
+
+    def _record_unplaced(self, kind: DemandKind, task: Task) -> None:
+        self._unplaced_by_kind.setdefault((kind, len(task.crashed_on)), task)
 
     def _place_reserved(self, vms: list[Vm]) -> Iterator[Placed]:
         """Place the tasks for which there is room now where it was kept for them."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -15,6 +15,7 @@
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketCache
 from pollenkeel_jobs.core.collection import paused_collection
 from pollenkeel_jobs.core.fleet import Fleet
+from pollenkeel_jobs.core.idle_jobs import IdleJobs
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.job_table import JobTable
 from pollenkeel_jobs.core.messages import (
@@ -73,6 +74,8 @@
 _MIGRATION_INTERVAL = 0.4
 #: Seconds between two writes of the learned interference weights.
 _WEIGHTS_WRITE_INTERVAL = 4.0
+#: Seconds between two searches for jobs without a run.
+_IDLE_JOBS_INTERVAL = 0.5
 
 
 class Scheduler:
@@ -122,6 +125,8 @@
             epoch, self._control, self._jobs, self._fleet, interference, self.wake
         )
         self._wait_log = WaitLog()
+        self._idle_jobs = IdleJobs()
+        self._next_idle_update_at = 0.0
         self._next_migration_at = 0.0
         self._next_weights_write_at = 0.0
 
@@ -381,6 +386,7 @@
                 self._control.requeue(task, "lease lapsed")
             self._jobs.add_due_occurrences()
             self._place_ready_tasks()
+            self._update_idle_jobs()
             self._stop_tasks_to_migrate()
             self._stop_preempted_tasks()
             batch = self._batch_dirty_jobs()
@@ -495,6 +501,13 @@
             now,
         )
 
+    def _update_idle_jobs(self) -> None:
+        now = self._clock.now()
+        if now >= self._next_idle_update_at:
+            self._next_idle_update_at = now + _IDLE_JOBS_INTERVAL
+            busy = self._fleet.find_busy_jobs()
+            self._idle_jobs.update(self._jobs.ready, busy, now)
+
     def _record_placement(self, placed: Placed, now: float) -> None:
         task, vm = placed.task, placed.vm
         self._jobs.ready.discard(task)
