Give each best-effort job a first run ahead of the order by urgency

Cause: a best-effort task may only go to a VM whose spare headroom it and the runs there do not use up, or, after 5 s, to one without any other interfering run. A run that the pacing holds at a few percent counts in full for as long as it lasts, so that one slow run a VM closes all VMs. Jobs past their objective come behind all others besides, and nothing bounded the time for which a job has no run.

A job without a run for 1.5 s now gets one: one of its tasks is placed ahead of the others on the VM with the lowest score, whatever limit on best-effort tasks it exceeds. Memory, labels, tickets, trials and reserved room still apply. The agent admits the run at the pace that the remaining headroom allows, so that serving tasks keep theirs; the score counts what is placed already, so that the runs are spread. One run a job, at most eight jobs a pass.

Ruled out: a change of the order alone.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -147,9 +147,16 @@
         obstacle = _find_unmet_demand(task, vm)
         if not obstacle and not self._has_unreserved_room(task, vm):
             obstacle = _RESERVED
-        if not obstacle and self.would_interfere_too_much(task, vm):
-            obstacle = "interference"
-        return obstacle
+        return obstacle or self._find_exceeded_limit(task, vm)
+
+    def _find_exceeded_limit(self, task: Task, vm: Vm) -> str:
+        """Return which limit on best-effort tasks a task exceeds, or an empty string.
+
+        The VM has room for the task.
+        """
+        if task.step.fills and vm.cpu_load >= _MAX_BEST_EFFORT_LOAD:
+            return "load"
+        return "interference" if self.would_interfere_too_much(task, vm) else ""
 
     def _has_unreserved_room(self, task: Task, vm: Vm) -> bool:
         if self._reservations is None:
@@ -231,6 +238,18 @@
         )
 
 
+class FirstRunPlacement(LeastLoaded):
+    """Places a best-effort task wherever there is memory, on the least loaded VM.
+
+    The pacing starts the run at the speed that the VM's latency-critical tasks allow,
+    so that they keep their headroom even where the limits are exceeded.
+    """
+
+    def _find_exceeded_limit(self, task: Task, vm: Vm) -> str:
+        """Return an empty string, as the limits are lifted."""
+        return ""
+
+
 def _find_unmet_demand(task: Task, vm: Vm) -> str:
     """Return what a VM lacks for a task, or an empty string."""
     step = task.step
@@ -242,8 +261,6 @@
         return _TRIAL
     if not vm.has_room_for(step.reserved):
         return NO_ROOM
-    if step.fills and vm.cpu_load >= _MAX_BEST_EFFORT_LOAD:
-        return "load"
     if step.spread_limit and vm.count_step_tasks(task) >= step.spread_limit:
         return SPREAD_LIMIT
     return ""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -8,6 +8,7 @@
 
 from pollenkeel_jobs.core.advice import TicketCache
 from pollenkeel_jobs.core.candidates import Candidates, make_candidate_key
+from pollenkeel_jobs.core.first_runs import FirstRuns
 from pollenkeel_jobs.core.gangs import choose_for_gang
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
 from pollenkeel_jobs.core.model import Task
@@ -55,6 +56,8 @@
         Policy that chooses the VMs.
     reservations : Reservations
         Room that is kept for waiting tasks.
+    first_runs : FirstRuns
+        Chooses the tasks that are placed ahead of the order by urgency.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         tickets: TicketCache,
         placement: Placement,
         reservations: Reservations,
+        first_runs: FirstRuns,
     ) -> None:
         # By kind of demand and number of crashes.
         self._unplaced_by_kind: dict[tuple[DemandKind, int], Task] = {}
@@ -70,6 +74,7 @@
         self._tickets = tickets
         self._placement = placement
         self._reservations = reservations
+        self._first_runs = first_runs
 
     @property
     def unplaced(self) -> Iterable[Task]:
@@ -99,6 +104,7 @@
         if not self._jobs.ready:
             return
         yield from self._place_reserved(vms)
+        yield from self._place_first_runs(vms, now)
         unplaceable = Unplaceable(self._placement, vms)
         candidates: Candidates | None = None
         for kind, task in self._iterate_placeable(unplaceable, vms, now):
@@ -141,6 +147,14 @@
                 self._reservations.add(reservation)
             yield from placements
 
+    def _place_first_runs(self, vms: list[Vm], now: float) -> Iterator[Placed]:
+        """Place one task of each job that has had no run for long."""
+        placement = self._first_runs.placement
+        placement.now = now
+        for task in self._first_runs.choose(self._jobs.ready, now):
+            allowed = self._filter_by_ticket(task, vms)
+            yield from _place_task(task, Candidates(task, allowed, placement))
+
     def _iterate_placeable(
         self, unplaceable: Unplaceable, vms: list[Vm], now: float
     ) -> Iterator[tuple[DemandKind, Task]]:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -14,6 +14,7 @@
 
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketCache
 from pollenkeel_jobs.core.collection import paused_collection
+from pollenkeel_jobs.core.first_runs import FirstRuns
 from pollenkeel_jobs.core.fleet import Fleet
 from pollenkeel_jobs.core.idle_jobs import IdleJobs
 from pollenkeel_jobs.core.interference_model import InterferenceModel
@@ -44,7 +45,7 @@
     PreparedStarts,
     RecordedEnds,
 )
-from pollenkeel_jobs.core.placement import LeastLoaded
+from pollenkeel_jobs.core.placement import FirstRunPlacement, LeastLoaded
 from pollenkeel_jobs.core.placement_log import WaitLog, log_interference
 from pollenkeel_jobs.core.preemption import Preemption
 from pollenkeel_jobs.core.progress_rows import ProgressBatch, ProgressTooLargeError
@@ -111,8 +112,15 @@
         self._interference = interference
         reservations = Reservations(self._jobs.ready)
         self._placement = LeastLoaded(self._interference, reservations)
+        self._idle_jobs = IdleJobs()
         self._queue = ReadyQueue(
-            self._jobs, self._tickets, self._placement, reservations
+            self._jobs,
+            self._tickets,
+            self._placement,
+            reservations,
+            FirstRuns(
+                self._idle_jobs, FirstRunPlacement(self._interference, reservations)
+            ),
         )
         self._preemption = Preemption(
             self._jobs.ready, self._tickets, self._placement, reservations
@@ -125,7 +133,6 @@
             epoch, self._control, self._jobs, self._fleet, interference, self.wake
         )
         self._wait_log = WaitLog()
-        self._idle_jobs = IdleJobs()
         self._next_idle_update_at = 0.0
         self._next_migration_at = 0.0
         self._next_weights_write_at = 0.0
--- a/packages/pollenkeel-jobs/tests/core/test_waiting.py
+++ b/packages/pollenkeel-jobs/tests/core/test_waiting.py
@@ -7,7 +7,9 @@
 from jobs_doubles import Site, make_job
 
 from pollenkeel_jobs.core.advice import Advice, TicketCache
+from pollenkeel_jobs.core.first_runs import FirstRuns
 from pollenkeel_jobs.core.gangs import choose_for_gang
+from pollenkeel_jobs.core.idle_jobs import IdleJobs
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
 from pollenkeel_jobs.core.model import Demand, StepSpec
@@ -45,7 +47,11 @@
         self.placement = CountingPlacement(InterferenceModel())
         self.tickets = TicketCache(clock)
         self.queue = ReadyQueue(
-            self.jobs, self.tickets, self.placement, Reservations(self.jobs.ready)
+            self.jobs,
+            self.tickets,
+            self.placement,
+            Reservations(self.jobs.ready),
+            FirstRuns(IdleJobs(), self.placement),
         )
 
     def run_pass(self):
