Give first runs to best-effort gangs, suspects and long-running tasks

Gangs are placed as a whole without the limits. A suspect is tried if another trial may begin. A demand for which no VM has room is ruled out without a look at each VM, and the idle job's task is found when the idle jobs are, so that a pass stays short with many of them.

Ruled out: ordinary tasks have neither limit and find a VM in the pass in which there is room.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/first_runs.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/first_runs.py
@@ -13,19 +13,20 @@
 from pollenkeel_jobs.core.idle_jobs import IdleJobs
 from pollenkeel_jobs.core.model import Job, Task, TaskState
 from pollenkeel_jobs.core.placement import Placement
-from pollenkeel_jobs.core.trials import is_tried_apart
 from pollenkeel_jobs.core.waiting import WaitingTasks
 
 #: Seconds without a run after which a job gets one. Operators tolerate three seconds,
 #: which include the delay of ``IdleJobs`` and of the start.
 _MAX_IDLE_SECONDS = 1.5
-#: Maximum number of jobs that are tried in one pass.
-_MAX_JOBS_PER_PASS = 8
+#: Maximum number of tasks that are tried in one pass.
+_MAX_TASKS_PER_PASS = 8
 
 
 class FirstRuns:
     """Chooses one waiting best-effort task of each job that has had no run for long.
 
+    A long-running task needs a run of its own, whether others of its job run or not.
+
     Not thread-safe; the scheduler's lock protects it.
 
     Parameters
@@ -44,12 +45,12 @@
     def __init__(self, idle_jobs: IdleJobs, placement: Placement) -> None:
         self.placement = placement
         self._idle_jobs = idle_jobs
-        self._tried_at_by_job: dict[Job, float] = {}
+        self._tried_at_by_task: dict[Task, float] = {}
 
     def choose(self, waiting: WaitingTasks, now: float) -> Iterator[Task]:
-        """Yield the tasks to place now, by the time for which their jobs have waited.
+        """Yield the tasks to place now, by the time for which they have been idle.
 
-        Jobs that found no VM come last in the next pass, so that they hide no other.
+        Those that found no VM come last in the next pass, so that they hide no other.
 
         Parameters
         ----------
@@ -58,37 +59,30 @@
         now : float
             Current time in seconds since the Unix epoch.
         """
-        since_by_job = self._idle_jobs.since_by_job
-        due = {
-            job: self._tried_at_by_job.get(job, 0.0)
-            for job, since in since_by_job.items()
+        since_by_task = dict(self._list_idle(waiting))
+        tried_at = {
+            task: self._tried_at_by_task.get(task, 0.0)
+            for task, since in since_by_task.items()
             if now - since >= _MAX_IDLE_SECONDS
         }
-        self._tried_at_by_job = due
-        tasks = (
-            (job, task)
-            for job in sorted(due, key=lambda job: (due[job], since_by_job[job]))
-            for task in _list_first(job, waiting)
-        )
-        for job, task in islice(tasks, _MAX_JOBS_PER_PASS):
-            due[job] = now
+        self._tried_at_by_task = tried_at
+        ordered = sorted(tried_at, key=lambda t: (tried_at[t], since_by_task[t]))
+        due = (task for task in ordered if task.step.long_running or _is_idle(task.job))
+        for task in islice(due, _MAX_TASKS_PER_PASS):
+            tried_at[task] = now
             yield task
 
+    def _list_idle(self, waiting: WaitingTasks) -> Iterator[tuple[Task, float]]:
+        """Yield the tasks that may get a first run, and since when they are idle."""
+        since_by_job = self._idle_jobs.since_by_job
+        for job, task in self._idle_jobs.best_effort_task_by_job.items():
+            if task in waiting:
+                yield task, since_by_job[job]
+        for task in waiting.long_running:
+            if task.step.fills:
+                yield task, task.ready_at
 
-def _list_first(job: Job, waiting: WaitingTasks) -> list[Task]:
-    """Return the first waiting best-effort task of a job; none if the job has a run.
 
-    Gangs need room for all members at once, and suspects of a crash a VM of their own.
-    """
-    tasks = list(job.tasks())
-    if any(task.state is TaskState.PLACED for task in tasks):
-        return []
-    placeable = (
-        task
-        for task in tasks
-        if task in waiting
-        and task.step.fills
-        and not task.step.gang
-        and not is_tried_apart(task)
-    )
-    return list(islice(placeable, 1))
+def _is_idle(job: Job) -> bool:
+    """Return whether no task of a job has been placed since the latest update."""
+    return all(task.state is not TaskState.PLACED for task in job.tasks())
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/idle_jobs.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/idle_jobs.py
@@ -28,10 +28,13 @@
     since_by_job : dict of Job to float
         Time of the first update that found the job idle, in seconds since the Unix
         epoch.
+    best_effort_task_by_job : dict of Job to Task
+        One task of each idle job that has a waiting best-effort task.
     """
 
     def __init__(self) -> None:
         self.since_by_job: dict[Job, float] = {}
+        self.best_effort_task_by_job: dict[Job, Task] = {}
         self._next_line_at = 0.0
 
     def update(self, waiting: Iterable[Task], busy: Set[Job], now: float) -> None:
@@ -46,9 +49,12 @@
         now : float
             Current time in seconds since the Unix epoch.
         """
-        idle = dict.fromkeys(task.job for task in waiting)
+        idle = [task for task in waiting if task.job not in busy]
         self.since_by_job = {
-            job: self.since_by_job.get(job, now) for job in idle if job not in busy
+            task.job: self.since_by_job.get(task.job, now) for task in idle
+        }
+        self.best_effort_task_by_job = {
+            task.job: task for task in idle if task.step.fills
         }
         longest = max((now - at for at in self.since_by_job.values()), default=0.0)
         IDLE_JOBS.set(len(self.since_by_job))
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -104,8 +104,8 @@
         if not self._jobs.ready:
             return
         yield from self._place_reserved(vms)
-        yield from self._place_first_runs(vms, now)
         unplaceable = Unplaceable(self._placement, vms)
+        yield from self._place_first_runs(unplaceable, vms, now)
         candidates: Candidates | None = None
         for kind, task in self._iterate_placeable(unplaceable, vms, now):
             if task.crashed_on and not _may_try(task, vms):
@@ -119,7 +119,7 @@
                 continue
             if task.step.gang:
                 candidates = None
-                placements = self._place_gang(task, vms)
+                placements = self._place_gang(task, vms, self._placement)
             else:
                 candidates = self._find_candidates(task, vms, candidates)
                 placements = _place_task(task, candidates)
@@ -147,13 +147,22 @@
                 self._reservations.add(reservation)
             yield from placements
 
-    def _place_first_runs(self, vms: list[Vm], now: float) -> Iterator[Placed]:
-        """Place one task of each job that has had no run for long."""
+    def _place_first_runs(
+        self, unplaceable: Unplaceable, vms: list[Vm], now: float
+    ) -> Iterator[Placed]:
+        """Place one task, or one gang, of each job that has had no run for long."""
         placement = self._first_runs.placement
         placement.now = now
         for task in self._first_runs.choose(self._jobs.ready, now):
-            allowed = self._filter_by_ticket(task, vms)
-            yield from _place_task(task, Candidates(task, allowed, placement))
+            if unplaceable.rules_out(self._jobs.ready.get_kind(task)):
+                continue
+            if task.crashed_on and not _may_try(task, vms):
+                continue
+            if task.step.gang:
+                yield from self._place_gang(task, vms, placement)
+            else:
+                allowed = self._filter_by_ticket(task, vms)
+                yield from _place_task(task, Candidates(task, allowed, placement))
 
     def _iterate_placeable(
         self, unplaceable: Unplaceable, vms: list[Vm], now: float
@@ -197,11 +206,13 @@
             self._tickets.request_tickets(task, vms)
         return advised
 
-    def _place_gang(self, task: Task, vms: list[Vm]) -> list[Placed]:
+    def _place_gang(
+        self, task: Task, vms: list[Vm], placement: Placement
+    ) -> list[Placed]:
         """Place all members of a task's gang, or none if they do not all fit."""
         members = list_step_tasks(task)
         advised = self._filter_by_ticket(task, vms)
-        chosen = choose_for_gang(members, advised, self._placement)
+        chosen = choose_for_gang(members, advised, placement)
         if chosen is None:
             return []
         run = max(member.run for member in members) + 1
--- a/packages/pollenkeel-jobs/tests/core/test_first_runs.py
+++ b/packages/pollenkeel-jobs/tests/core/test_first_runs.py
@@ -136,6 +136,30 @@
     assert idle_times.longest_by_job["late"] < MAX_IDLE_SECONDS
 
 
+def test_best_effort_gang_gets_a_run_although_throttled_runs_close_all_vms(shared_site):
+    """Guards against gangs that wait as long as one slow run is on each VM."""
+    gang = attrs.evolve(FILLING, count=2, gang=True)
+    shared_site.scheduler.add_job(make_job("gang", (gang,)))
+    assert shared_site.pass_seconds(6.0)["gang"] < MAX_IDLE_SECONDS
+
+
+def test_suspect_of_a_crash_gets_a_trial_although_slow_runs_close_all_vms(shared_site):
+    """Guards against best-effort suspects that are never tried."""
+    shared_site.scheduler.add_job(make_job("suspect", (FILLING,)))
+    shared_site.step()
+    (task,) = shared_site.scheduler._jobs.find("suspect").tasks()
+    task.crashed_on |= {"vm-8/x~1", "vm-9/x~1"}
+    assert shared_site.pass_seconds(6.0)["suspect"] < MAX_IDLE_SECONDS
+
+
+def test_long_running_task_gets_a_run_although_others_of_its_job_run(shared_site):
+    """Guards against a long-running best-effort task that waits without a bound."""
+    lasting = attrs.evolve(FILLING, count=3, long_running=True)
+    shared_site.scheduler.add_job(make_job("lasting", (lasting,)))
+    shared_site.pass_seconds(MAX_IDLE_SECONDS)
+    assert sum(task.startswith("lasting") for task in shared_site.running) == 3
+
+
 class WatchedFleet(SharedFleet):
     """Records for how long jobs have no run while most cores are unused."""
 
