Let connections without a request take no thread of the HTTP server

What callers saw: no answer from an entry for 10 s while as many connections as it has threads for clients (24) were open and unused. Such an entry did not end within 6 s of SIGTERM either, and would have been killed.

Cause: cheroot hands a new connection to a thread as soon as it is accepted, and the thread waits up to 10 s for its first byte. Kept connections that are idle after an answer are watched without a thread; new ones were not. At a stop each thread takes the next such connection and waits again.

Change: a new connection is watched like a kept one until its first byte arrives.

Ruled out: answers cut at a stop under load. 40 clients with kept connections, more than threads, got complete answers within 3 s, and after SIGTERM none waited longer than 0.2 s for one that did not come; this test passed before as well and stays.

Evidence, with real processes: with 30 unused connections three requests in a row had no answer within 3 s before, and four took 2 to 3 ms after; with 60 they took 13 to 21 ms. test_idle_new_connections_keep_no_request_waiting, test_idle_new_connections_do_not_delay_a_stop and test_idle_connections_keep_no_client_waiting failed before.

Remains: a connection that sends part of a request and then nothing still holds a thread for up to 10 s.

--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/http.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/http.py
@@ -35,6 +35,22 @@
         """Skip the access log line."""
 
 
+class _Server(cheroot.wsgi.Server):
+    """WSGI server whose threads do not wait for the first byte of a connection.
+
+    By default cheroot hands each new connection to a thread at once. As many unused
+    connections as there are threads would keep all others waiting.
+    """
+
+    def process_conn(self, conn: JsonErrorConnection) -> None:
+        """Hand a connection with a request to a thread; watch a new one until then."""
+        if conn.is_new:
+            conn.is_new = False
+            self.put_conn(conn)
+        else:
+            super().process_conn(conn)
+
+
 class HttpServer:
     """Serves a cherrypy application without cherrypy's process-wide engine.
 
@@ -67,7 +83,7 @@
         application.request_class = JsonErrorRequest
         application.log = _NoAccessLog(application.log.appid, cherrypy.log.logger_root)
         application.log.screen = False
-        self._server = cheroot.wsgi.Server(
+        self._server = _Server(
             (settings.host, settings.port),
             application,
             numthreads=settings.threads,
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/http_errors.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/http_errors.py
@@ -139,9 +139,16 @@
 
 
 class JsonErrorConnection(cheroot.server.HTTPConnection):
-    """Connection that parses its requests with ``JsonErrorParser``."""
+    """Connection that parses its requests with ``JsonErrorParser``.
+
+    Attributes
+    ----------
+    is_new : bool
+        Whether the server has just accepted the connection.
+    """
 
     RequestHandlerClass = JsonErrorParser
+    is_new = True
 
 
 def _make_refusal(status: str, message: str) -> tuple[Refusal, int]:
