Count the late failure of a run that was given up, once

What callers would see: a task that fails is started more often than its queue's attempts allow (BUDGET), and its job is shown as failed later than it should be.

Cause: a worker is silent until its lease expires, its run is given up, and a later run of the task is placed. If the worker then lists the earlier run as failed, the end was dropped and acknowledged, as only the latest run could fail. A later "done" of a worker was dealt with already, a failure was not.

Change: runs that are given up with their worker's lease are recorded with the task until their end is processed. A failure of such a run counts, and removes it from the record in the same transaction, so that a new leader that gets the list again does not count it twice. Rows of earlier versions are read; an earlier version cannot read the row of a task with such a run, and leaves its job out.

Ruled out: runs requeued for other causes. A refused start has not run, a restarted worker lists no ends of its earlier incarnation, and a run that its worker does not list is given up only once all its ends are known.

Evidence: test_late_failure_of_an_earlier_run_counts and both cases of test_late_failure_of_an_earlier_run_counts_once failed before (a run more than the attempts). All tests of the jobs package pass.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -305,6 +305,9 @@
     acquitted_through : int
         Number of a run up to which crashes do not count, because it ran soundly. Agents
         repeat their reports of crashes, also to a new leader.
+    unheard_runs : set of int
+        Numbers of runs that were given up with the lease of their worker, and whose end
+        has not been processed. If such a run has failed, its late end still counts.
     placed_at, seen_at : float
         Time of the placement and of the first report that lists the run, in seconds
         since the Unix epoch; 0 if it has not happened under this leader.
@@ -361,6 +364,7 @@
     runner: str = ""
     crashed_on: set[str] = attrs.field(factory=set)
     acquitted_through: int = 0
+    unheard_runs: set[int] = attrs.field(factory=set)
 
     placed_at: float = 0.0
     seen_at: float = 0.0
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
@@ -104,17 +104,30 @@
         raise ValueError(f"{name} is {value!r:.40}; expected an integer >= {least}")
 
 
-def _encode_crashes(task: Task) -> list[Any]:
-    if task.acquitted_through:
-        return [sorted(task.crashed_on), task.acquitted_through]
-    return [sorted(task.crashed_on)] if task.crashed_on else []
+def _encode_history(task: Task) -> list[Any]:
+    """Return the fields of earlier runs, up to the last one that has a value."""
+    fields: list[Any] = [
+        sorted(task.crashed_on),
+        task.acquitted_through,
+        sorted(task.unheard_runs),
+    ]
+    while fields and not fields[-1]:
+        fields.pop()
+    return fields
 
 
-def _decode_crashes(
-    workers: Iterable[object] = (), acquitted_through: int = 0
-) -> tuple[set[str], int]:
+def _apply_history(
+    task: Task,
+    crashed_on: Iterable[object] = (),
+    acquitted_through: int = 0,
+    unheard_runs: Iterable[int] = (),
+) -> None:
     _check_count("acquitted_through", acquitted_through, 0)
-    return {_check_text("crashed worker", w) for w in workers}, acquitted_through
+    for run in unheard_runs:
+        _check_count("unheard run", run, 1)
+    task.crashed_on = {_check_text("crashed worker", w) for w in crashed_on}
+    task.acquitted_through = acquitted_through
+    task.unheard_runs = set(unheard_runs)
 
 
 def _check_text(name: str, value: object) -> str:
@@ -199,6 +212,7 @@
         or task.checkpoint
         or task.crashed_on
         or task.acquitted_through
+        or task.unheard_runs
     )
 
 
@@ -244,7 +258,7 @@
             return
         runner = self.runners.setdefault(task.runner, len(self.runners))
         row = [task.key.index, int(task.state), task.run, task.failures, runner]
-        rows.append([*row, task.checkpoint, *_encode_crashes(task)])
+        rows.append([*row, task.checkpoint, *_encode_history(task)])
 
     def encode(self) -> bytes:
         """Return the page."""
@@ -384,14 +398,14 @@
 
 
 def _apply_task(task: Task, fields: list[Any], runners: list[str]) -> None:
-    state, run, failures, runner, checkpoint, *crashes = fields
+    state, run, failures, runner, checkpoint, *history = fields
     _check_count("run", run, 0)
     _check_count("failures", failures, 0)
     task.state = TaskState(state)
     task.run, task.failures = run, failures
     task.runner = _check_text("runner", runners[runner])
     task.checkpoint = _check_text("checkpoint", checkpoint)
-    task.crashed_on, task.acquitted_through = _decode_crashes(*crashes)
+    _apply_history(task, *history)
 
 
 def _encode_step(step: StepSpec) -> dict[str, Any]:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -203,6 +203,9 @@
             return
         holder = vm
         if task.run != ended.run:
+            if ended.run in task.unheard_runs and ended.how == "failed":
+                self._process_late_failure(vm, task, ended)
+                return
             if not _is_done_by_earlier_run(task, ended):
                 return
             holder = self._fleet.find_by_incarnation(task.runner) or vm
@@ -228,6 +231,7 @@
         RUNS_ENDED.labels(ended.how).inc()
         holder.remove(task)
         task.runner = ""
+        task.unheard_runs.discard(ended.run)
         self._jobs.mark_started(task.job)
         store_checkpoint(task, ended.checkpoint)
         if ended.how in ("done", "failed") and not task.step.long_running:
@@ -243,6 +247,22 @@
         else:
             self._control.requeue(task, ended.how)
 
+    def _process_late_failure(self, vm: Vm, task: Task, ended: EndedTask) -> None:
+        """Count a failed run that was given up, although a later one was placed."""
+        task.unheard_runs.remove(ended.run)
+        if task.job.status.final or task.state is TaskState.DONE:
+            return
+        log_change(
+            logger,
+            "given-up run failed",
+            task=ended.task_id,
+            run=ended.run,
+            vm=vm.name,
+            later=task.run,
+        )
+        if self._record_failure(task, vm):
+            self._control.finish(task.job, JobStatus.FAILED)
+
     def _record_vm_result(self, vm: Vm, task: Task, failed: bool, now: float) -> None:
         """Update the worker's quarantine and the VM's slowness from an ended run.
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/run_control.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/run_control.py
@@ -12,6 +12,10 @@
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.clock import Clock
 
+#: Number of given-up runs of a task whose late ends still count. Older ones are dropped
+#: so that the record of the task stays small.
+_MAX_UNHEARD_RUNS = 8
+
 
 class RunControl:
     """Stops and requeues runs, and ends jobs.
@@ -81,6 +85,14 @@
                     self.stop(holder, member.task_id, member.run, now)
         self._wake.set()
 
+    def give_up(self, task: Task) -> None:
+        """Requeue a task whose worker's lease has expired; its end may come later."""
+        if not task.step.long_running and not task.awaits_order:
+            task.unheard_runs.add(task.run)
+            if len(task.unheard_runs) > _MAX_UNHEARD_RUNS:
+                task.unheard_runs.remove(min(task.unheard_runs))
+        self.requeue(task, "lease lapsed")
+
     def forget_tickets_if_final(self, job: Job) -> None:
         """Drop the tickets of a job that has ended."""
         if job.status.final:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -383,7 +383,7 @@
         """Place waiting tasks; return the rows to write and the orders to send."""
         with self._lock:
             for task in list(self._fleet.pop_expired()):
-                self._control.requeue(task, "lease lapsed")
+                self._control.give_up(task)
             self._jobs.add_due_occurrences()
             self._place_ready_tasks()
             self._update_idle_jobs()
--- a/packages/pollenkeel-jobs/tests/core/test_late_ends.py
+++ b/packages/pollenkeel-jobs/tests/core/test_late_ends.py
@@ -2,7 +2,7 @@
 
 import attrs
 import pytest
-from jobs_doubles import Site, make_job
+from jobs_doubles import Site, make_job, succeed
 
 from pollenkeel_jobs.core.fleet import WORKER_LEASE
 from pollenkeel_jobs.core.messages import EndedTask, OrderOutcome
@@ -92,19 +92,6 @@
     assert site.scheduler.find_status("j1").value != "done"
 
 
-def succeed(site, jobs=()):
-    """Return the site of a new leader; ``jobs`` are those that the site knows."""
-    successor = Site(site.clock, vms=len(site.vms))
-    successor.scheduler.load(
-        (encode_job(job), site.rows_by_key.get((PROGRESS, job.job_id))) for job in jobs
-    )
-    for vm, before in zip(successor.vms, site.vms, strict=True):
-        vm.incarnation, vm.draining = before.incarnation, before.draining
-        vm.running, vm.ended = before.running, before.ended
-    successor.rows_by_key = site.rows_by_key
-    return successor
-
-
 def test_failure_is_counted_once_although_it_is_listed_again(clock):
     """Guards against a job that is given up before its attempts are used up (LOST).
 
@@ -141,6 +128,59 @@
     assert successor.scheduler.find_status("j1").value == "done"
 
 
+def test_late_failure_of_an_earlier_run_counts(clock):
+    """Guards against a start after the attempts are used up (BUDGET)."""
+    site = Site(clock, vms=2)
+    site.scheduler.add_job(make_job(steps=(make_step(),)))
+    silent, other = site.vms
+    other.draining = True
+    site.step()
+    silent.end(TASK, "failed")
+    silent.away = True
+    clock.advance(WORKER_LEASE + 1.0)
+    site.step()
+    other.draining = False
+    site.step()
+    assert [run.run for run in other.running] == [2]
+    silent.away = False
+    site.step()
+    other.end(TASK, "failed")
+    site.step()
+    assert site.running == []
+    assert site.scheduler.find_status("j1").value == "failed"
+
+
+@pytest.mark.parametrize("record", [False, True])
+def test_late_failure_of_an_earlier_run_counts_once(clock, record):
+    """Guards against a failure that a new leader counts again, or never."""
+    job = make_job(steps=(make_step(),), attempts=3)
+    site = Site(clock, vms=2)
+    site.scheduler.add_job(job)
+    silent, other = site.vms
+    other.draining = True
+    site.step()
+    silent.end(TASK, "failed")
+    silent.away = True
+    clock.advance(WORKER_LEASE + 1.0)
+    site.step()
+    other.draining = False
+    site.step()
+    silent.away = False
+    for _ in range(2):
+        site.step(record=record)
+        site = succeed(site, [job])
+    silent, other = site.vms
+    silent.draining = True
+    site.step()
+    other.end(TASK, "failed")
+    site.step()
+    assert [run.run for run in other.running] == [3]
+    other.end(TASK, "failed")
+    site.step()
+    assert site.running == []
+    assert site.scheduler.find_status("j1").value == "failed"
+
+
 class BusyVm:
     """Worker whose ends come as fast as one list after the other can show them.
 
--- a/packages/pollenkeel-jobs/tests/core/test_records.py
+++ b/packages/pollenkeel-jobs/tests/core/test_records.py
@@ -46,19 +46,22 @@
     assert decode_job(msgpack.packb([1, *fields[1:]])) == make_job()
 
 
+@pytest.mark.parametrize("unheard_runs", [set(), {2, 5}])
 @pytest.mark.parametrize("acquitted_through", [0, 3])
 @pytest.mark.parametrize("crashed_on", [set(), {"vm-1/w~1", "vm-2/w~1"}])
-def test_crashes_round_trip(crashed_on, acquitted_through):
-    """Guards against crashes that a new leader forgets or counts again."""
+def test_earlier_runs_round_trip(crashed_on, acquitted_through, unheard_runs):
+    """Guards against crashes and ends that a new leader forgets or counts again."""
     job = Job(make_job(), 1.0)
     job.add_occurrence(0)
     task = job.tasks_by_step[0, 0][1]
     task.crashed_on, task.acquitted_through = crashed_on, acquitted_through
+    task.unheard_runs = unheard_runs
     loaded = Job(make_job(), 1.0)
     apply_progress(loaded, encode_progress(job))
     copy = loaded.tasks_by_step[0, 0][1]
     assert copy.crashed_on == crashed_on
     assert copy.acquitted_through == acquitted_through
+    assert copy.unheard_runs == unheard_runs
 
 
 def test_progress_round_trips():
--- a/packages/pollenkeel-jobs/tests/jobs_doubles.py
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -16,7 +16,9 @@
     WorkerCrash,
 )
 from pollenkeel_jobs.core.model import Demand, JobSpec, QueuePolicy, StepSpec
+from pollenkeel_jobs.core.names import PROGRESS
 from pollenkeel_jobs.core.operations import Operations
+from pollenkeel_jobs.core.records import encode_job
 from pollenkeel_jobs.core.scheduler import Scheduler
 from pollenkeel_jobs.core.tables import Failure, FailureKind, Page, Row, TableService
 from pollenkeel_kernel.core.clock import ManualClock
@@ -263,6 +265,24 @@
         return sorted(run.task_id for vm in self.vms for run in vm.running)
 
 
+def succeed(site, jobs=()):
+    """Return the site of a new leader; ``jobs`` are those that the site knows."""
+    successor = Site(site.clock, vms=len(site.vms))
+    successor.scheduler.load(
+        (encode_job(job), site.rows_by_key.get((PROGRESS, job.job_id))) for job in jobs
+    )
+    for vm, before in zip(successor.vms, site.vms, strict=True):
+        vm.incarnation, vm.draining, vm.away = (
+            before.incarnation,
+            before.draining,
+            before.away,
+        )
+        vm.running, vm.ended = before.running, before.ended
+        vm.withdrawn, vm.crashes = before.withdrawn, before.crashes
+    successor.rows_by_key = site.rows_by_key
+    return successor
+
+
 def make_job(job_id="j1", steps=None, accepted_at=0.0, **policy):
     """Return a job of one step with two tasks unless told otherwise."""
     steps = steps or (StepSpec(2, Demand(1000, 1000), 1.0),)
