Wait for another upstream when the only known one is gone

An agent refuses with the same code at once when its upstream has expired. After the pause the entry knew that VM only, through an announcement delivered late; each request used its three attempts there within milliseconds, or was refused because the retry budget was used up.

Evidence: the new test and the new cases of two tests failed before with 2012 and pass now.

Fix: a refusal for lack of an upstream is handled like that of a leaving upstream. The router skips the upstream until its next announcement, or for one announcement interval if no other is known, and the retry costs no budget, because nothing ran.

--- a/packages/pollenkeel-entry/src/pollenkeel_entry/requests/forwarder.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/requests/forwarder.py
@@ -30,6 +30,7 @@
         Code.AGENT_LEAVING,
         Code.STALE_AGENT_EPOCH,
         Code.CAPACITY_UNKNOWN,
+        Code.NO_UPSTREAM,
     }
 )
 #: Codes that are retried while the retry budget lasts.
@@ -37,7 +38,6 @@
     {
         Code.UPSTREAM_UNREACHABLE,
         Code.START_EXPIRED,
-        Code.NO_UPSTREAM,
         Code.CLOCK_SKEW,
         Code.PEER_UNREACHABLE,
         Code.ATTEMPT_LOST,
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/requests/router.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/requests/router.py
@@ -44,16 +44,16 @@
         Code.UPSTREAM_UNREACHABLE,
         Code.PEER_UNREACHABLE,
         Code.NO_REPLY,
-        Code.UPSTREAM_LEAVING,
-        Code.AGENT_LEAVING,
         Code.STALE_AGENT_EPOCH,
-        Code.NO_UPSTREAM,
         Code.CLOCK_SKEW,
         Code.START_EXPIRED,
         Code.CAPACITY_UNKNOWN,
     }
 )
-_LEAVING_CODES = frozenset({Code.UPSTREAM_LEAVING, Code.AGENT_LEAVING})
+#: Codes after which the router skips the upstream until its next announcement.
+_LEAVING_CODES = frozenset(
+    {Code.UPSTREAM_LEAVING, Code.AGENT_LEAVING, Code.NO_UPSTREAM}
+)
 
 
 class Router:
@@ -199,7 +199,7 @@
     def _skip_leaving_upstream(
         self, queue: ServiceQueue, hint: SlotHint, now: float
     ) -> None:
-        """Skip an upstream that is shutting down until its next announcement.
+        """Skip an upstream that is shutting down or gone until its next announcement.
 
         Otherwise waiting requests use up their attempts there. An upstream that is the
         only known one is tried again after the interval in which others announce
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/requests/slots.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/requests/slots.py
@@ -37,7 +37,7 @@
         Time until which the upstream is avoided after a failure.
     blocked_until : float
         Time until which the upstream gets no requests because it rejected one while it
-        was shutting down. Its next announcement ends the block.
+        was shutting down or gone. Its next announcement ends the block.
     """
 
     slots: int = 0
--- a/packages/pollenkeel-entry/tests/requests/test_forwarder.py
+++ b/packages/pollenkeel-entry/tests/requests/test_forwarder.py
@@ -98,6 +98,31 @@
     assert rig.runs() == 1
 
 
+def test_upstream_that_is_gone_uses_no_retry_budget(rig, fakes):
+    """Guards against refusing requests just after the entry was paused.
+
+    A delayed announcement then names an upstream that is gone, and the announcement of
+    the sound one comes later.
+    """
+    gone = rig.add_agent("a1")
+    gone.default = lambda a, d: a.refuse(d, Code.NO_UPSTREAM)
+    results = []
+    threads = [
+        threading.Thread(target=lambda: results.append(code(rig.forward("POST"))))
+        for _ in range(20)
+    ]
+    for thread in threads:
+        thread.start()
+    fakes.wait_until(lambda: gone.dispatches)
+    fakes.wait_until(
+        lambda: results or rig.context.dump.collect()["router"]["desk"]["waiting"] == 20
+    )
+    rig.add_agent("a2")
+    for thread in threads:
+        thread.join(30)
+    assert results == [Code.OK] * 20
+
+
 def test_retry_budget_is_exhausted(rig):
     """Guards against a retry storm when an upstream fails every request."""
     agent = rig.add_agent()
@@ -174,11 +199,13 @@
     return agent.run(dispatch)
 
 
-@pytest.mark.parametrize("refusal", [Code.AGENT_LEAVING, Code.UPSTREAM_LEAVING])
+@pytest.mark.parametrize(
+    "refusal", [Code.AGENT_LEAVING, Code.UPSTREAM_LEAVING, Code.NO_UPSTREAM]
+)
 def test_request_waits_for_an_upstream_that_is_not_leaving(rig, refusal):
-    """Guards against using up all attempts at an upstream that is leaving.
+    """Guards against using up all attempts at an upstream that is leaving or gone.
 
-    The agent rejects requests before an announcement says that it is leaving.
+    The agent rejects requests before an announcement says so.
     """
     rig.add_agent("a1").default = lambda a, d: a.refuse(d, refusal)
     rig.add_agent("a2", slots=1).default = _run_slowly
--- a/packages/pollenkeel-entry/tests/requests/test_router.py
+++ b/packages/pollenkeel-entry/tests/requests/test_router.py
@@ -102,10 +102,13 @@
     assert code(results[0]) is Code.OK
 
 
-def test_request_waits_for_another_upstream_while_the_only_one_leaves(rig, fakes):
+@pytest.mark.parametrize("refusal", [Code.UPSTREAM_LEAVING, Code.NO_UPSTREAM])
+def test_request_waits_for_another_upstream_while_the_only_one_leaves(
+    rig, fakes, refusal
+):
     """Guards against using up all attempts at the only known upstream, which leaves."""
     leaving = rig.add_agent("a1")
-    leaving.default = lambda a, d: a.refuse(d, Code.UPSTREAM_LEAVING)
+    leaving.default = lambda a, d: a.refuse(d, refusal)
     results = []
     thread = threading.Thread(
         target=lambda: results.append(rig.forward("POST", seconds=20))
