Send no call any more whose key was reported as not run

Cause: the repeat had the agent put a tombstone on the first call's attempt and reported "not run". The claim stayed open, so the first call, whose dispatch the agent then refused with 2013, took its own claim over with a second attempt.

Ruled out: a second run (the claim moved by compare-and-set, it ran once) and the drain as the cause (any refusal of the repeat leads there).

Fix: a keyed request marks the claim as released, with the time, before its refusal is returned, at the version that it has found free. If the version has changed, another call may have been sent, so its result is looked up instead; if the store does not confirm the write, the outcome is unknown (3006). A call that finds the claim released at a version after one that it has seen, or at a time after it began, is refused with 2013 and renews the mark, so that a third call cannot run in between. A repeat that begins later takes the claim over as before. The price is one row write for a refused call whose key has a claim; it was written in the background before if the call held the claim.

--- a/packages/pollenkeel-entry/src/pollenkeel_entry/requests/claim_row.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/requests/claim_row.py
@@ -35,7 +35,7 @@
     OPEN
         An attempt holds the claim; its result is not stored.
     RELEASED
-        The last attempt provably did not run.
+        The last attempt provably did not run, and its caller was told so.
     FINISHED
         The answer of the attempt is stored.
     EXPIRED
@@ -66,6 +66,9 @@
         Key of the object that holds the packed answer.
     delete_after : float
         Time after which the claim may be deleted, in seconds since the Unix epoch.
+    released_at : float
+        Time of the latest refusal as not run, in seconds since the Unix epoch; 0 if the
+        row was written by an earlier version.
     """
 
     state: ClaimState
@@ -78,6 +81,7 @@
     answer: bytes = b""
     answer_object: str = ""
     delete_after: float = math.inf
+    released_at: float = 0.0
 
 
 @attrs.frozen
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/requests/claims.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/requests/claims.py
@@ -44,6 +44,8 @@
 _MAX_CLAIM_WRITES = 3
 _QUERY_TIMEOUT_SECONDS = 1.0
 _POLL_INTERVAL_SECONDS = 0.05
+#: Least time for the write of a refusal, because many refusals are due to the deadline.
+_REFUSAL_WRITE_SECONDS = 0.5
 #: Tries to read a pointer and its claim, which may be deleted between the two reads.
 _MAX_CLAIM_READS = 3
 
@@ -93,7 +95,11 @@
     """Claim of an idempotency key on behalf of one request.
 
     Call ``assign`` before sending each attempt. If it returns False, another attempt
-    holds the claim, and ``resolve`` returns the result of that attempt.
+    holds the claim, and ``resolve`` returns the result of that attempt. ``refuse``
+    returns the final result if the request is not sent.
+
+    A request with the same key that was in progress when another one was refused as not
+    run must not be sent any more; ``cancelled`` tells it.
 
     Parameters
     ----------
@@ -125,6 +131,17 @@
         self._location: ClaimLocation | None = None
         #: Claim as last written by this request; None while it does not hold the claim.
         self._held: ClaimRow | None = None
+        #: Claim at ``_location``; None to create it.
+        self._free: ClaimRow | None = None
+        self._created_at = context.clock.now()
+        #: Row as this request last wrote it or read it while resolving.
+        self._seen: ClaimLocation | None = None
+        self._cancelled = False
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether a request with this key was refused as not run meanwhile."""
+        return self._cancelled
 
     def assign(self, lease: SlotLease, attempt_id: str) -> Result[bool, Refusal]:
         """Write the claim for an attempt that is about to be sent.
@@ -207,46 +224,87 @@
             pause = _POLL_INTERVAL_SECONDS * random.uniform(0.5, 1.5)
             threading.Event().wait(min(pause, max(0.0, self._remaining())))
 
-    def conclude_unsent(self, refusal: Refusal) -> Result[Answer, Refusal]:
-        """Return the result for the key when this request cannot be sent.
+    def refuse(self, refusal: Refusal) -> Result[Answer, Refusal]:
+        """Return the final result for the key when this request is not sent.
 
-        An earlier attempt with the same key may have run although this request was not
-        sent; the refusal alone would then wrongly report that nothing ran. If the claim
-        cannot be read, the refusal is returned as it is.
+        An earlier attempt with the same key may have run; the refusal alone would then
+        wrongly report that nothing ran. If none has, the refusal is recorded in the
+        claim first, so that other requests with the key that are in progress are not
+        sent any more. If the claim cannot be read, the refusal is returned as it is.
 
         Parameters
         ----------
         refusal : Refusal
-            Why this request was not sent.
+            Why this request was not sent, or proof that its last attempt did not run.
 
         Returns
         -------
         Result[Answer, Refusal]
             The earlier answer, the unknown outcome of an earlier attempt, or
-            ``refusal``.
+            ``refusal``; 3006 if it could not be recorded.
         """
-        if self._held is not None:
-            # The claim was written for an earlier attempt of this request that did not
-            # run.
-            self.release()
-            return Err(refusal)
-        read = self._read()
-        if isinstance(read, Err) or read.ok_value is None:
-            return Err(refusal)
-        resolved = self.resolve()
-        if isinstance(resolved, Ok) and resolved.ok_value is not None:
-            return Ok(resolved.ok_value)
-        return resolved if isinstance(resolved, Err) else Err(refusal)
+        if self._held is None:
+            read = self._read()
+            if isinstance(read, Err) or read.ok_value is None:
+                return Err(refusal)
+        while True:
+            if self._held is None:
+                resolved = self.resolve()
+                if isinstance(resolved, Err):
+                    return resolved
+                if resolved.ok_value is not None:
+                    return Ok(resolved.ok_value)
+            recorded = self._record_refusal()
+            if isinstance(recorded, Err):
+                return recorded
+            if recorded.ok_value:
+                return Err(refusal)
+            # Another request has changed the claim since; it may have been sent.
+            self._held = None
 
     def finish(self, answer: Answer) -> None:
         """Store the answer of the attempt that holds the claim, in the background."""
         if self._held is not None and self._location is not None:
             self._answers.finish(self._location, self._held, answer)
 
-    def release(self) -> None:
-        """Record in the background that the attempt provably did not run."""
-        if self._held is not None and self._location is not None:
-            self._answers.release(self._location, self._held)
+    def _record_refusal(self) -> Result[bool, Refusal]:
+        """Mark the free claim as released; return False if it has been changed.
+
+        Returns
+        -------
+        Result[bool, Refusal]
+            Code 3006 if the store did not confirm the write.
+        """
+        location, free = self._location, self._free
+        if location is None or free is None:
+            return Ok(True)
+        row = attrs.evolve(
+            free,
+            state=ClaimState.RELEASED,
+            digest=self._digest,
+            answer_object="",
+            released_at=self._context.clock.now(),
+        )
+        for _ in range(_MAX_CLAIM_WRITES):
+            put = Put(location.table, location.key, pack_row(row), location.version)
+            written = self._writer.submit(put).wait(
+                max(self._remaining(), _REFUSAL_WRITE_SECONDS)
+            )
+            if isinstance(written, Ok):
+                return Ok(True)
+            if written is None or written.err_value.code not in (
+                Code.VERSION_CONFLICT,
+                Code.WRITE_UNKNOWN,
+            ):
+                break
+            read = self._read()
+            if isinstance(read, Err):
+                break
+            found = read.ok_value
+            if found is None or found.location != location:
+                return Ok(found is not None and found.value == pack_row(row))
+        self._answers.release(location, row)
+        return Err(Refusal(Code.WRITE_UNKNOWN, "the refusal was not recorded"))
 
     def _make_puts(self, row: ClaimRow, number: int) -> list[Put]:
         """Return the writes that create or replace the claim; the claim comes first."""
@@ -287,8 +345,8 @@
     ) -> Result[bool, Refusal]:
         """Record that this request holds the claim."""
         CLAIMS.labels("new" if self._location is None else "taken-over").inc()
-        self._location = location
-        self._held = row
+        self._location = self._seen = location
+        self._held = self._free = row
         return Ok(True)
 
     def _read_back(self, row: ClaimRow, cause: Refusal) -> Result[bool, Refusal] | None:
@@ -339,8 +397,10 @@
             detail = f"claim cannot be read: {read.err_value.detail}"
             return Err(Refusal(Code.WRITE_UNKNOWN, detail)), running
         if read.ok_value is None:
-            return self._set_free(None), False
+            return self._set_free(None, None), False
         location = read.ok_value.location
+        changed = self._seen is not None and self._seen != location
+        self._seen = location
         unpacked = unpack_row(read.ok_value.value)
         if isinstance(unpacked, Err):
             return Err(unpacked.err_value), False
@@ -353,7 +413,10 @@
         if row.state is ClaimState.FINISHED:
             return self._stored_answer(row), False
         if row.state is ClaimState.RELEASED:
-            return self._set_free(location), False
+            # The clocks of two entries may differ, but a request that has seen another
+            # version of the claim was certainly in progress at the refusal.
+            self._cancelled = changed or row.released_at >= self._created_at
+            return self._set_free(location, row), False
         return self._resolve_open(row, location)
 
     def _free_after_expiry(self, row: ClaimRow, location: ClaimLocation) -> Resolution:
@@ -362,12 +425,15 @@
         deleted = self._context.backend.delete_object(name)
         if isinstance(deleted, Err):
             return Err(_store_unavailable(deleted.err_value))
-        return self._set_free(location)
+        return self._set_free(location, row)
 
-    def _set_free(self, location: ClaimLocation | None) -> Resolution:
+    def _set_free(
+        self, location: ClaimLocation | None, row: ClaimRow | None
+    ) -> Resolution:
         """Record that the claim may be assigned, replacing the row at ``location``."""
         self._location = location
         self._held = None
+        self._free = row
         return Ok(None)
 
     def _stored_answer(self, row: ClaimRow) -> Resolution:
@@ -397,7 +463,7 @@
         if not isinstance(reply, AttemptReply) or reply.attempt_id != row.attempt_id:
             return None, False
         if reply.state in ("tombstoned", "refused"):
-            return self._set_free(location), False
+            return self._set_free(location, row), False
         if reply.state == "finished" and reply.reply is not None:
             return self._answer_from_agent(row, location, reply.reply), False
         if reply.state == "running":
@@ -415,7 +481,7 @@
             self._answers.finish(location, row, checked.ok_value)
             return Ok(attrs.evolve(checked.ok_value, code=Code.REPLAYED))
         if checked.err_value.outcome is Outcome.NOT_RUN:
-            return self._set_free(location)
+            return self._set_free(location, row)
         return Err(checked.err_value)
 
     def _query_agent(self, row: ClaimRow) -> Result[Message, Refusal]:
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/requests/forwarder.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/requests/forwarder.py
@@ -46,6 +46,10 @@
     }
 )
 
+_KEY_REFUSED = Refusal(
+    Code.TOMBSTONED, "another request with this key was refused as not run"
+)
+
 ForwardResult = Result[Answer, Refusal]
 
 
@@ -139,7 +143,7 @@
         while True:
             acquired = self._acquire(request, progress)
             if isinstance(acquired, Err):
-                return claim.conclude_unsent(acquired.err_value)
+                return claim.refuse(acquired.err_value)
             lease = acquired.ok_value
             attempt_id = self._next_attempt_id()
             assigned = self._assign_claim(claim, lease, attempt_id)
@@ -151,6 +155,8 @@
                     return resolved
                 if resolved.ok_value is not None:
                     return Ok(resolved.ok_value)
+                if claim.cancelled:
+                    return claim.refuse(_KEY_REFUSED)
                 continue
             result = self._sender.send(request, lease, attempt_id)
             if isinstance(result, Ok):
@@ -158,7 +164,9 @@
                 return result
             refusal = result.err_value
             if not self._should_retry(request, progress, lease, refusal):
-                return self._conclude_claimed(claim, refusal)
+                if refusal.outcome is Outcome.NOT_RUN:
+                    return claim.refuse(refusal)
+                return result
 
     def _acquire(
         self, request: ServiceRequest, progress: _Progress
@@ -183,13 +191,6 @@
             if assigned != Ok(True):
                 self._router.release(lease, Code.STORE_UNAVAILABLE)
 
-    def _conclude_claimed(self, claim: Claim, refusal: Refusal) -> ForwardResult:
-        """Return the final refusal; release the claim if the attempt did not run."""
-        if refusal.outcome is not Outcome.NOT_RUN:
-            return Err(refusal)
-        claim.release()
-        return Err(refusal)
-
     def _should_retry(
         self,
         request: ServiceRequest,
