Name the drain as the cause if the upstream was announced meanwhile

Callers saw 2002 (the wait would pass the deadline) after 2 s, 3 s before their deadline, where every upstream was in a drained data centre.

Cause: the request waited for a first announcement, since the upstream's had lapsed, and its upstream then appeared in a drained data centre. The refusal at the end of the wait looked only at whether any upstream is known.

--- a/packages/pollenkeel-entry/src/pollenkeel_entry/requests/router.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/requests/router.py
@@ -254,14 +254,9 @@
         if now >= request.deadline:
             return Refusal(Code.DEADLINE_TOO_CLOSE, "the deadline has passed")
         known = self._accepting_upstreams(queue)
-        accepts_work = self._make_agent_filter(request.service)
-        usable = [h for r, h in known if accepts_work(r)]
+        usable = self._usable_hints(request.service, known)
         if known and not usable:
-            return Refusal(
-                Code.DATA_CENTRE_DRAINED,
-                f"every upstream of {request.service!r} is in a drained or "
-                "disallowed data centre",
-            )
+            return _drained_refusal(request.service)
         waiting = queue.waiting
         if self._waiting >= self._context.settings.limits.waiting_requests:
             return Refusal(Code.BACKLOG_FULL, f"{self._waiting} requests wait")
@@ -290,8 +285,11 @@
         return min(request.deadline, now + timing.peer_silent_after)
 
     def _timeout_refusal(self, request: ServiceRequest, queue: ServiceQueue) -> Refusal:
-        if not self._accepting_upstreams(queue):
+        known = self._accepting_upstreams(queue)
+        if not known:
             return Refusal(Code.NO_UPSTREAM, f"no upstream of {request.service!r}")
+        if not self._usable_hints(request.service, known):
+            return _drained_refusal(request.service)
         detail = f"{queue.waiting} more requests wait for {request.service}"
         return Refusal(Code.DEADLINE_TOO_CLOSE, detail)
 
@@ -300,6 +298,13 @@
     ) -> list[tuple[AgentRecord, SlotHint]]:
         return [(r, h) for r, h in self._live_upstreams(queue) if not h.leaving]
 
+    def _usable_hints(
+        self, service: str, known: list[tuple[AgentRecord, SlotHint]]
+    ) -> list[SlotHint]:
+        """Return the hints of the upstreams whose data centre may serve a service."""
+        accepts_work = self._make_agent_filter(service)
+        return [hint for record, hint in known if accepts_work(record)]
+
     def _remove_if_expired(self, queue: ServiceQueue, agent_id: str) -> None:
         # Keep the hint while attempts are in flight, because they still release slots.
         unused = queue.hints_by_agent[agent_id].own == 0
@@ -474,3 +479,10 @@
                 }
                 for service, queue in self._queues_by_service.items()
             }
+
+
+def _drained_refusal(service: str) -> Refusal:
+    return Refusal(
+        Code.DATA_CENTRE_DRAINED,
+        f"every upstream of {service!r} is in a drained or disallowed data centre",
+    )
--- a/packages/pollenkeel-entry/tests/requests/test_router.py
+++ b/packages/pollenkeel-entry/tests/requests/test_router.py
@@ -122,6 +122,22 @@
     assert len(leaving.dispatches) == 1
 
 
+def test_refusal_names_the_drain_if_the_upstream_was_announced_meanwhile(rig, fakes):
+    """Guards against code 2002 for a request that waited for an announcement."""
+    rig.config.drained_names = frozenset({"pmr"})
+    results = []
+    thread = threading.Thread(
+        target=lambda: results.append(rig.router.acquire(rig.request(seconds=0.5)))
+    )
+    thread.start()
+    fakes.wait_until(
+        lambda: rig.context.dump.collect()["router"].get("desk", {}).get("waiting")
+    )
+    rig.add_agent("a1", data_centre="pmr")
+    thread.join(10)
+    assert code(results[0]) is Code.DATA_CENTRE_DRAINED
+
+
 def test_wait_for_an_announcement_is_bounded(make_rig):
     """Guards against requests that wait for an upstream until a distant deadline."""
     timing = TimingSettings(heartbeat_interval=0.05, peer_silent_after=0.2)
