--- a/standins/pollenkeel_standins/callers.py
+++ b/standins/pollenkeel_standins/callers.py
@@ -157,21 +157,49 @@
 
 
 def wait_until_idle(site: Site) -> None:
-    """Wait until no request is running on an upstream or in progress at an agent."""
+    """Wait until no request is running on an upstream or in progress at an agent.
+
+    Raises
+    ------
+    TimeoutError
+        With the requests that still run.
+    """
+    open_requests: list[str] = []
 
     def is_idle() -> bool:
-        runs = find_executions(site)
-        ended = {run.name for run in runs if run.end}
-        # If a connection is silent, an agent still waits for the answer to an attempt
-        # that has ended at the upstream.
-        running = {
-            attempt
-            for agent in site.agents_by_vm.values()
-            for attempt in site.dump(agent)["attempts"]["running"]
-        }
-        return running <= ended and len(ended) == len(runs)
-
-    wait_until(is_idle, _IDLE_TIMEOUT_SECONDS, "no request runs")
+        open_requests[:] = _find_open_requests(site)
+        return not open_requests
+
+    try:
+        wait_until(is_idle, _IDLE_TIMEOUT_SECONDS, "no request runs")
+    except TimeoutError as error:
+        raise TimeoutError(f"{error}; {'; '.join(open_requests)}") from error
+
+
+def _find_open_requests(site: Site) -> list[str]:
+    """Return descriptions of the requests that run at an upstream or agent."""
+    runs = find_executions(site)
+    ended = {run.name for run in runs if run.end}
+    found = [
+        f"{run.fields['uri']} runs on {run.vm} as {run.name} since {run.start:.3f}"
+        for run in runs
+        if not run.end
+    ]
+    # If a connection is silent, an agent still waits for the answer to an attempt
+    # that has ended at the upstream.
+    found += [
+        f"{attempt} in progress at {vm}"
+        for vm, agent in site.agents_by_vm.items()
+        for attempt in site.dump(agent)["attempts"]["running"]
+        if attempt not in ended
+    ]
+    names = [run.name for run in runs]
+    found += [
+        f"{name} ran {names.count(name)} times"
+        for name in sorted(set(names))
+        if names.count(name) > 1
+    ]
+    return found
 
 
 def find_executions(site: Site, key: str = "", path: str = "") -> list[Execution]:
