Split the owner side of a shard by subject

The end of a task lease was computed in the shard for starts and for exchanges; it is a function beside the lease now.

Behaviour is meant to be unchanged. The proofs with real processes were not run.

--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/decisions.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/decisions.py
@@ -55,6 +55,18 @@
                 _, dropped = self._decisions_by_key.popitem(last=False)
                 self._total -= len(dropped)
 
+    def record(
+        self,
+        at: float,
+        key: str,
+        action: str,
+        code: int,
+        reason: str = "",
+        vm: str = "",
+    ) -> None:
+        """Record a decision that was made at time ``at``."""
+        self.add(key, Decision(at, action, code, reason, vm))
+
     def get(self, key: str) -> list[Decision]:
         """Return the recorded decisions of a task or job, oldest first."""
         with self._lock:
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/manager.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/manager.py
@@ -16,13 +16,15 @@
 from pollenkeel_entry.batch import records as rec
 from pollenkeel_entry.batch.decisions import DecisionRecord
 from pollenkeel_entry.batch.hints import CapacityHints, StartRamp
+from pollenkeel_entry.batch.inbox import CommitResult
 from pollenkeel_entry.batch.job_check import parse_job
 from pollenkeel_entry.batch.links import EntryLinks
 from pollenkeel_entry.batch.log import ShardLog
 from pollenkeel_entry.batch.ownership import Lease, OwnerRow, Ownership, fair_share
 from pollenkeel_entry.batch.quota import QuotaTable
 from pollenkeel_entry.batch.records import Task
-from pollenkeel_entry.batch.shard import CommitResult, Shard, ShardServices
+from pollenkeel_entry.batch.services import ShardServices
+from pollenkeel_entry.batch.shard import Shard
 from pollenkeel_entry.core.context import EntryContext
 from pollenkeel_kernel.core.codes import Code, find_code
 from pollenkeel_kernel.core.dump import to_plain
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/ownership.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/ownership.py
@@ -51,6 +51,14 @@
     lock: threading.Lock = attrs.field(factory=threading.Lock, eq=False, repr=False)
 
 
+def limit_task_lease(lease: Lease, timing: TimingSettings, now: float) -> float:
+    """Return the end of a task lease that the owner of a shard grants now."""
+    # A task lease may outlast the confirmed shard lease by ``outage_grace``, so that
+    # tasks survive an outage of the store; the next owner allows for this.
+    confirmed = lease.row.lease_until + timing.outage_grace
+    return min(now + timing.task_lease, confirmed)
+
+
 class Ownership:
     """Claims, renews and releases the leases of one entry.
 
