Name interference, best-effort tasks and the latest reply by their terms

`HARM`, `_harm` and `harms` were learned interference between images, `filling` best-effort tasks beside `_BestEffortRun`, and `heard_at` of a connection the time of its latest reply: it's `last_reply_at` now. The weights of the pairs were indexed twice in pacing. Keys of stored rows, names of metrics and fields of messages stay: the table is still called harm, the metric pollenkeel_filling_cores, and messages have `harms` and `filling`.

Tests of the kernel, of the entry's core, of the platform's stand-in and eight files of the jobs package passed; one of them changes in its import.

--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/links.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/links.py
@@ -117,15 +117,15 @@
         on it.
         """
         now = self._context.clock.now()
-        heard_at = max(client.heard_at, redialled_at)
-        silent_at = heard_at + self._timing.peer_silent_after
+        last_reply_at = max(client.last_reply_at, redialled_at)
+        silent_at = last_reply_at + self._timing.peer_silent_after
         heartbeat = Heartbeat(self._context.settings.id, now)
         deadline = max(silent_at, now + self._timing.heartbeat_interval)
         result = client.call(heartbeat, deadline)
         if is_answered(result):
             return redialled_at
         now = self._context.clock.now()
-        if now < silent_at - TIMEOUT_ROUNDING or client.heard_at > heard_at:
+        if now < silent_at - TIMEOUT_ROUNDING or client.last_reply_at > last_reply_at:
             return redialled_at
         client.redial()
         log_change(logger, "entry connection replaced", address=client.address)
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/core/heartbeats.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/core/heartbeats.py
@@ -116,7 +116,7 @@
         now = self._context.clock.now()
         client = record.client
         reconnect_at = (
-            max(client.heard_at, peer.redialled_at) + timing.peer_silent_after
+            max(client.last_reply_at, peer.redialled_at) + timing.peer_silent_after
         )
         next_at = now + timing.heartbeat_interval
         message = Heartbeat(self._context.settings.id, now, version)
@@ -129,10 +129,10 @@
         now = self._context.clock.now()
         self._set_silent(agent_id, peer, not answered)
         # A reply to any request shows that the connection works.
-        heard_at = max(client.heard_at, peer.redialled_at)
+        last_reply_at = max(client.last_reply_at, peer.redialled_at)
         if (
             not answered
-            and now >= heard_at + timing.peer_silent_after - TIMEOUT_ROUNDING
+            and now >= last_reply_at + timing.peer_silent_after - TIMEOUT_ROUNDING
         ):
             peer.redialled_at = now
             client.redial()
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -22,7 +22,7 @@
     VmReport,
     VmReportReply,
 )
-from pollenkeel_jobs.core.metrics import FILLING_CORES, SERVING_PRESSURE
+from pollenkeel_jobs.core.metrics import BEST_EFFORT_CORES, SERVING_PRESSURE
 from pollenkeel_jobs.core.pacing import Pace
 from pollenkeel_jobs.core.worker import (
     Worker,
@@ -262,14 +262,16 @@
         state: WorkerState,
         order: WorkerOrder,
         start: StartOrder,
-        harms: list[InterferingPair],
+        interfering_pairs: list[InterferingPair],
     ) -> None:
         """Throttle a newly started run if full speed would cause interference."""
         capacity_cpu = state.announcement.capacity.cpu
         with self._lock:
             run = start.task_id, start.run
             now = self._clock.now()
-            pace = state.pace.admit(run, start.profile, harms, capacity_cpu, now)
+            pace = state.pace.admit(
+                run, start.profile, interfering_pairs, capacity_cpu, now
+            )
         if pace is not None:
             self._send_pace(state, order, pace)
 
@@ -398,7 +400,7 @@
                 state.pace.decide(
                     lists.running,
                     state.profiles_by_task,
-                    state.harms,
+                    state.interfering_pairs,
                     state.announcement.capacity.cpu,
                     self._clock.now(),
                 )
@@ -406,7 +408,7 @@
         for pace in changes:
             self._send_pace(state, order, pace)
         for what, cores in attrs.asdict(state.pace.best_effort_cores).items():
-            FILLING_CORES.labels(what).set(cores)
+            BEST_EFFORT_CORES.labels(what).set(cores)
         SERVING_PRESSURE.set(state.pace.pressure)
 
     def _send_pace(self, state: WorkerState, order: WorkerOrder, pace: Pace) -> None:
@@ -496,7 +498,7 @@
                 return False
             state.lease_until = max(state.lease_until, reply.lease_until)
             state.recorded_through = max(state.recorded_through, reply.recorded_through)
-            state.harms = reply.harms
+            state.interfering_pairs = reply.harms
             for profile in reply.profiles:
                 state.profiles_by_task[profile.task_id] = profile
             self._drop_recorded_runs(state, report, reply.recorded_through)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/interference_model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/interference_model.py
@@ -1,7 +1,7 @@
 """Learns how much best-effort images interfere with latency-critical images.
 
-``serving`` refers to latency-critical tasks, which have a latency target, and ``fills``
-and ``filling`` to best-effort tasks. A weight is the headroom (target over tail
+``serving`` refers to latency-critical tasks, which have a latency target. Messages call
+best-effort tasks ``fills`` or ``filling``. A weight is the headroom (target over tail
 latency) that a best-effort image takes from a latency-critical one if it uses all cores
 of a VM.
 """
@@ -168,8 +168,8 @@
             if any(abs(change) >= _MIN_SHARE_CHANGE for change in changes.values()):
                 self._learn(image, changes, loss - drift * passed)
             explained = sum(
-                self.weight(image, filling) * change
-                for filling, change in changes.items()
+                self.weight(image, best_effort) * change
+                for best_effort, change in changes.items()
             )
             share = passed / (passed + _DRIFT_SECONDS)
             drift += share * ((loss - explained) / passed - drift)
@@ -246,12 +246,12 @@
                 "cannot load learned interference weights", extra={"cause": str(error)}
             )
 
-    def weight(self, serving: str, filling: str) -> float:
+    def weight(self, serving: str, best_effort: str) -> float:
         """Return the weight of a pair: a prior if it is unknown, 0 if negligible."""
         model = self._models_by_image.get(serving)
-        if model is None or filling not in model.images:
+        if model is None or best_effort not in model.images:
             return _PRIOR_WEIGHT
-        weight = model.regression.weight(filling)
+        weight = model.regression.weight(best_effort)
         return weight if weight > _NEGLIGIBLE_WEIGHT else 0.0
 
     def describe(self) -> dict[str, dict[str, float]]:
@@ -264,10 +264,12 @@
             for image, model in self._models_by_image.items()
         }
 
-    def pairs(self, serving: Set[str], filling: Set[str]) -> Iterator[InterferingPair]:
+    def pairs(
+        self, serving: Set[str], best_effort: Set[str]
+    ) -> Iterator[InterferingPair]:
         """Yield the pairs of these images with a weight above zero."""
         for image in sorted(serving):
-            for other in sorted(filling):
+            for other in sorted(best_effort):
                 weight = self.weight(image, other)
                 if weight:
                     yield InterferingPair(image, other, round(weight, 2))
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -31,8 +31,8 @@
 from pollenkeel_jobs.core.metrics import COMMIT_SECONDS
 from pollenkeel_jobs.core.names import (
     CANCELS,
-    HARM,
     INTAKE_PARTITIONS,
+    INTERFERENCE,
     JOBS,
     LEADER_PARTITION,
     MEMBER_PARTITION,
@@ -120,8 +120,8 @@
         self.leadership = leadership
         self.clock = clock
         self.over = threading.Event()
-        self._harm = InterferenceModel()
-        self.scheduler = Scheduler(leadership.epoch, clock, self._harm)
+        self._interference = InterferenceModel()
+        self.scheduler = Scheduler(leadership.epoch, clock, self._interference)
         self._tables = tables
         self._senders_by_vm: dict[Vm, VmOrderSender] = {}
         self._member_values_by_name: dict[str, bytes] = {}
@@ -163,9 +163,9 @@
         jobs = self._read_intake(JOBS, stop)
         cancels = self._read_intake(CANCELS, stop)
         progress = self._read_all(LEADER_PARTITION, PROGRESS, stop)
-        harm = self._read_all(LEADER_PARTITION, HARM, stop)
-        for row in harm.rows:
-            self._harm.load(row.value or b"")
+        weights = self._read_all(LEADER_PARTITION, INTERFERENCE, stop)
+        for row in weights.rows:
+            self._interference.load(row.value or b"")
         progress_by_id = join_progress_rows(progress.rows)
         self.scheduler.load(
             (row.value or b"", progress_by_id.get(row.key)) for row in jobs.rows
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
@@ -68,7 +68,7 @@
     buckets=(0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0),
     registry=REGISTRY,
 )
-FILLING_CORES = Gauge(
+BEST_EFFORT_CORES = Gauge(
     "pollenkeel_filling_cores",
     "Cores of the filling tasks of a VM: declared, allowed by their pace, in use.",
     ["what"],
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/names.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/names.py
@@ -8,8 +8,9 @@
 CANCELS = "cancels"
 #: Progress of jobs, written by the leader.
 PROGRESS = "progress"
-#: Learned interference between images, written by the leader.
-HARM = "harm"
+#: Learned interference between images, written by the leader. Stored rows have an older
+#: name.
+INTERFERENCE = "harm"
 #: The leader's lease, written in each of its transactions.
 LEADER = "leader"
 #: Members: the address of each agent.
@@ -23,7 +24,7 @@
 #: Partition of the member table.
 MEMBER_PARTITION = "members"
 LEADER_KEY = "leader"
-HARM_KEY = "model"
+INTERFERENCE_KEY = "model"
 
 
 def get_intake_partition(job_id: str) -> str:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
@@ -1,8 +1,8 @@
 """Throttles the best-effort tasks of a VM in favour of its latency-critical tasks.
 
 A pace caps the speed of a best-effort task, in percent. ``serving`` refers to
-latency-critical tasks, which have a latency target, and ``fills`` and ``filling`` to
-best-effort tasks. Headroom is target over tail latency, see ``headroom``.
+latency-critical tasks, which have a latency target. Messages call best-effort tasks
+``fills`` or ``filling``. Headroom is target over tail latency, see ``headroom``.
 """
 
 from __future__ import annotations
@@ -154,7 +154,7 @@
         self,
         running: list[RunningTask],
         profiles_by_task: dict[str, TaskProfile],
-        harms: Iterable[InterferingPair],
+        interfering_pairs: Iterable[InterferingPair],
         cores: int,
         now: float,
     ) -> Iterator[Pace]:
@@ -166,25 +166,25 @@
             Runs with their latest measurements.
         profiles_by_task : dict of str to TaskProfile
             Profiles of the running tasks.
-        harms : iterable of InterferingPair
+        interfering_pairs : iterable of InterferingPair
             Pairs of images with a weight; see the class.
         cores : int
             Capacity of the VM in thousandths of a core.
         now : float
             Current time in seconds.
         """
-        weights = {(pair.serving, pair.filling): pair.weight for pair in harms}
-        serving, filling = self._classify(running, profiles_by_task)
-        self._drop_ended_runs(serving, filling, now)
-        self._update_totals(serving, filling)
-        budgets = self._compute_budgets(serving, filling, weights, cores, now)
+        weights = _index_weights(interfering_pairs)
+        serving, best_effort = self._classify(running, profiles_by_task)
+        self._drop_ended_runs(serving, best_effort, now)
+        self._update_totals(serving, best_effort)
+        budgets = self._compute_budgets(serving, best_effort, weights, cores, now)
         self._paused = self._guard.update(
             {item.run: item.pressure for item in serving}, now
         )
-        self._update_limits(serving, filling, weights, budgets, cores, now)
+        self._update_limits(serving, best_effort, weights, budgets, cores, now)
         self._remaining_budgets = dict(budgets)
         for item, allowed in _share_budgets(
-            self._remaining_budgets, filling, weights, cores
+            self._remaining_budgets, best_effort, weights, cores
         ):
             if self._paused:
                 item.pace.percent = 0.0
@@ -192,7 +192,7 @@
                 item.pace.limit_changed_at = now
             else:
                 _set_pace(item.pace, min(allowed, item.pace.limit))
-        for item in filling:
+        for item in best_effort:
             percent = int(item.pace.percent)
             if self._should_send(item.run, percent):
                 yield Pace(*item.run, percent)
@@ -209,7 +209,7 @@
         self,
         run: tuple[str, int],
         profile: TaskProfile,
-        harms: Iterable[InterferingPair],
+        interfering_pairs: Iterable[InterferingPair],
         cores: int,
         now: float,
     ) -> Pace | None:
@@ -224,7 +224,7 @@
             Id of the task and number of the run.
         profile : TaskProfile
             Profile of the task.
-        harms : iterable of InterferingPair
+        interfering_pairs : iterable of InterferingPair
             Pairs of images with a weight; see the class.
         cores : int
             Capacity of the VM in thousandths of a core.
@@ -233,7 +233,7 @@
         """
         if not profile.fills:
             return None
-        weights = {(pair.serving, pair.filling): pair.weight for pair in harms}
+        weights = _index_weights(interfering_pairs)
         allowed = (
             _consume_budgets(self._remaining_budgets, profile, weights, cores)
             * _FULL_SPEED
@@ -255,7 +255,7 @@
     ) -> tuple[list[_ServingRun], list[_BestEffortRun]]:
         """Return the latency-critical and the best-effort runs."""
         serving = []
-        filling = []
+        best_effort = []
         for task in running:
             profile = profiles_by_task.get(task.task_id)
             if profile is None:
@@ -263,16 +263,16 @@
             run = (task.task_id, task.run)
             if profile.fills:
                 pace = self._paces_by_run.setdefault(run, _RunPace())
-                filling.append(_BestEffortRun(task, profile, pace))
+                best_effort.append(_BestEffortRun(task, profile, pace))
             elif profile.latency_target:
                 headroom = compute_headroom(task.figure, profile.latency_target)
                 serving.append(_ServingRun(run, profile.image, headroom))
-        return serving, filling
+        return serving, best_effort
 
     def _drop_ended_runs(
-        self, serving: list[_ServingRun], filling: list[_BestEffortRun], now: float
+        self, serving: list[_ServingRun], best_effort: list[_BestEffortRun], now: float
     ) -> None:
-        for run in set(self._paces_by_run) - {item.run for item in filling}:
+        for run in set(self._paces_by_run) - {item.run for item in best_effort}:
             if now > self._paces_by_run[run].listed_by:
                 del self._paces_by_run[run]
                 self._sent_percent_by_run.pop(run, None)
@@ -280,22 +280,22 @@
             del self._trends_by_run[run]
 
     def _update_totals(
-        self, serving: list[_ServingRun], filling: list[_BestEffortRun]
+        self, serving: list[_ServingRun], best_effort: list[_BestEffortRun]
     ) -> None:
         self.pressure = max((item.pressure for item in serving), default=0.0)
         milli = 1000.0
         self.best_effort_cores = BestEffortCores(
-            sum(item.profile.cores for item in filling) / milli,
-            sum(item.profile.cores * item.pace.percent for item in filling)
+            sum(item.profile.cores for item in best_effort) / milli,
+            sum(item.profile.cores * item.pace.percent for item in best_effort)
             / _FULL_SPEED
             / milli,
-            sum(item.task.figure for item in filling) / milli,
+            sum(item.task.figure for item in best_effort) / milli,
         )
 
     def _compute_budgets(
         self,
         serving: list[_ServingRun],
-        filling: list[_BestEffortRun],
+        best_effort: list[_BestEffortRun],
         weights: dict[tuple[str, str], float],
         cores: int,
         now: float,
@@ -308,7 +308,7 @@
         for item in serving:
             taken = sum(
                 _estimate_interference(peer, item.image, weights, cores)
-                for peer in filling
+                for peer in best_effort
             )
             trend = self._trends_by_run.setdefault(item.run, HeadroomTrend())
             trend.update(item.headroom + taken, now)
@@ -319,7 +319,7 @@
     def _update_limits(
         self,
         serving: list[_ServingRun],
-        filling: list[_BestEffortRun],
+        best_effort: list[_BestEffortRun],
         weights: dict[tuple[str, str], float],
         budgets: dict[str, float],
         cores: int,
@@ -337,10 +337,10 @@
             and budgets[item.image] <= 0.0
             and not any(
                 _estimate_interference(peer, item.image, weights, cores) > 0
-                for peer in filling
+                for peer in best_effort
             )
         }
-        for item in filling:
+        for item in best_effort:
             pace = item.pace
             if now - pace.limit_changed_at < _LIMIT_CHANGE_INTERVAL:
                 continue
@@ -365,7 +365,7 @@
 
 def _share_budgets(
     budgets: dict[str, float],
-    filling: list[_BestEffortRun],
+    best_effort: list[_BestEffortRun],
     weights: dict[tuple[str, str], float],
     cores: int,
 ) -> Iterator[tuple[_BestEffortRun, float]]:
@@ -386,7 +386,7 @@
         cost = round(max(shares, default=0.0), 1)
         return cost, -item.task.percent, item.task.task_id
 
-    for item in sorted(filling, key=rank):
+    for item in sorted(best_effort, key=rank):
         yield (
             item,
             _consume_budgets(budgets, item.profile, weights, cores) * _FULL_SPEED,
@@ -408,6 +408,13 @@
     }
 
 
+def _index_weights(
+    interfering_pairs: Iterable[InterferingPair],
+) -> dict[tuple[str, str], float]:
+    """Return the weights by latency-critical and best-effort image."""
+    return {(pair.serving, pair.filling): pair.weight for pair in interfering_pairs}
+
+
 def _consume_budgets(
     budgets: dict[str, float],
     profile: TaskProfile,
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
@@ -112,9 +112,9 @@
     for image in set(vm.headroom_by_image) - set(lowest_by_image):
         del vm.headroom_by_image[image]
     for image, headroom in lowest_by_image.items():
-        for filling, use in uses_by_image.items():
+        for best_effort, use in uses_by_image.items():
             headroom += (
-                interference.weight(image, filling) * use / max(1, vm.capacity.cpu)
+                interference.weight(image, best_effort) * use / max(1, vm.capacity.cpu)
             )
         known = vm.headroom_by_image.get(image, headroom)
         vm.headroom_by_image[image] = known + share * (headroom - known)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -35,7 +35,7 @@
     JobStatus,
     TaskState,
 )
-from pollenkeel_jobs.core.names import HARM, HARM_KEY
+from pollenkeel_jobs.core.names import INTERFERENCE, INTERFERENCE_KEY
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.passes import (
     OrderBatch,
@@ -453,7 +453,7 @@
         now = self._clock.now()
         if writes and now >= self._next_weights_write_at:
             self._next_weights_write_at = now + _WEIGHTS_WRITE_INTERVAL
-            row = RowWrite(HARM, HARM_KEY, self._interference.encode())
+            row = RowWrite(INTERFERENCE, INTERFERENCE_KEY, self._interference.encode())
             writes = [*writes, row]
             log_interference(self._interference, self._fleet.vms())
         return tuple(writes)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
@@ -59,7 +59,7 @@
         a start that still waits for a thread is not sent after such an order.
     withdrawn : dict of (str, int) to None
         Those that the worker has revoked, oldest first.
-    harms : list of InterferingPair
+    interfering_pairs : list of InterferingPair
         Interference between the images on the VM, as last sent by the leader.
     pace : PaceController
         Chooses the speed caps of the best-effort tasks.
@@ -84,7 +84,7 @@
     profiles_by_task: dict[str, TaskProfile] = attrs.field(factory=dict)
     stopped: dict[tuple[str, int], None] = attrs.field(factory=dict)
     withdrawn: dict[tuple[str, int], None] = attrs.field(factory=dict)
-    harms: list[InterferingPair] = attrs.field(factory=list)
+    interfering_pairs: list[InterferingPair] = attrs.field(factory=list)
     pace: PaceController = attrs.field(factory=PaceController)
     starts: StartHistory = attrs.field(factory=StartHistory)
     answering: bool = True
--- a/packages/pollenkeel-jobs/tests/core/test_rejected_rows.py
+++ b/packages/pollenkeel-jobs/tests/core/test_rejected_rows.py
@@ -12,7 +12,7 @@
 from pollenkeel_jobs.core.leadership import Leadership, LeadershipLost
 from pollenkeel_jobs.core.messages import JobQuery
 from pollenkeel_jobs.core.model import JobState, JobStatus
-from pollenkeel_jobs.core.names import HARM, LEADER, LEADER_PARTITION, PROGRESS
+from pollenkeel_jobs.core.names import INTERFERENCE, LEADER, LEADER_PARTITION, PROGRESS
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.tables import RowWrite
 from pollenkeel_kernel import Code
@@ -110,14 +110,14 @@
 
 def test_rejected_weights_keep_the_jobs_going(term, tables, leadership, clock):
     """Guards against learned weights that end the term."""
-    tables.rejects = lambda write: write.table == HARM
+    tables.rejects = lambda write: write.table == INTERFERENCE
     vm = VmDouble(term.scheduler, clock)
     term.scheduler.add_job(make_job())
     vm.report()
     run_pass(term)
     assert leadership.leads
     assert find_row(tables, PROGRESS, "j1")
-    assert find_row(tables, HARM, "model") is None
+    assert find_row(tables, INTERFERENCE, "model") is None
 
 
 def test_lease_is_given_up_if_the_store_rejects_every_write(
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/transport.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/transport.py
@@ -188,14 +188,14 @@
 
     Attributes
     ----------
-    heard_at : float
+    last_reply_at : float
         Time of the latest reply, in seconds since the Unix epoch; before the first
         reply, the time of construction.
     """
 
     def __init__(self, address: str, clock: Clock) -> None:
         self.address = address
-        self.heard_at = clock.now()
+        self.last_reply_at = clock.now()
         self._clock = clock
         self._lock = threading.Lock()
         self._closed = False
@@ -295,7 +295,7 @@
         bool
             Whether the connection was replaced.
         """
-        if self._clock.now() - max(self.heard_at, self._dialled_at) < seconds:
+        if self._clock.now() - max(self.last_reply_at, self._dialled_at) < seconds:
             return False
         self.redial()
         return True
@@ -325,7 +325,7 @@
             reply = context.recv()
         except pynng.exceptions.NNGException as error:
             return Err(Refusal(Code.NO_REPLY, f"{self.address}: {error}"))
-        self.heard_at = self._clock.now()
+        self.last_reply_at = self._clock.now()
         decoded = decode(reply).map_err(_to_broken_answer)
         return decoded.and_then(_error_reply_to_err)
 
