Pass what the parts of a shard share as one object, and one heartbeat

The planner of starts and the orders of a shard took the same four objects, with the same documentation twice. The heartbeat of the tests stood in platform/tests and in tests/contracts.

--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/agent_orders.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/agent_orders.py
@@ -16,12 +16,10 @@
     find_lapsed,
 )
 from pollenkeel_entry.batch.inbox import EventInbox
-from pollenkeel_entry.batch.log import ShardLog
-from pollenkeel_entry.batch.ownership import Lease, limit_task_lease
-from pollenkeel_entry.batch.services import ShardServices
+from pollenkeel_entry.batch.ownership import limit_task_lease
+from pollenkeel_entry.batch.services import OwnedShard
 from pollenkeel_entry.batch.start_planner import StartPlanner
 from pollenkeel_entry.batch.state import ShardState
-from pollenkeel_entry.core.context import EntryContext
 from pollenkeel_entry.core.membership import AgentRecord
 from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.messages import (
@@ -41,14 +39,8 @@
 
     Parameters
     ----------
-    context : EntryContext
-        Shared objects of the entry.
-    lease : Lease
-        Ownership lease of the shard.
-    log : ShardLog
-        Log of the shard.
-    services : ShardServices
-        Objects shared with the entry's other shards.
+    shard : OwnedShard
+        Log of the shard and the objects around it.
     inbox : EventInbox
         Receives the events that follow from exchanges.
     planner : StartPlanner
@@ -62,19 +54,14 @@
 
     def __init__(
         self,
-        context: EntryContext,
-        lease: Lease,
-        log: ShardLog,
-        services: ShardServices,
+        shard: OwnedShard,
         inbox: EventInbox,
         planner: StartPlanner,
     ) -> None:
         self.granted_until = 0.0
-        self._context = context
-        self._timing = context.settings.timing
-        self._lease = lease
-        self._log = log
-        self._services = services
+        self._context, self._services = shard.context, shard.services
+        self._lease, self._log = shard.lease, shard.log
+        self._timing = shard.context.settings.timing
         self._inbox = inbox
         self._planner = planner
         self._pending_starts_by_agent: dict[str, list[TaskStart]] = {}
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/services.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/services.py
@@ -1,4 +1,4 @@
-"""Objects that the shards of one entry share."""
+"""Objects that the shards of one entry share, and those of one shard."""
 
 from __future__ import annotations
 
@@ -8,8 +8,10 @@
 
 from pollenkeel_entry.batch.decisions import DecisionRecord
 from pollenkeel_entry.batch.hints import CapacityHints, StartRamp
-from pollenkeel_entry.batch.ownership import Ownership
+from pollenkeel_entry.batch.log import ShardLog
+from pollenkeel_entry.batch.ownership import Lease, Ownership
 from pollenkeel_entry.batch.quota import QuotaTable
+from pollenkeel_entry.core.context import EntryContext
 from pollenkeel_kernel.policy.quarantine import Quarantine
 from pollenkeel_kernel.policy.run_time import RunTimeModel
 
@@ -32,3 +34,25 @@
     wake: Callable[[str], None]
     is_silent: Callable[[str], bool]
     run_times_by_name: dict[str, RunTimeModel] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class OwnedShard:
+    """What the parts of a shard that this entry owns work with.
+
+    Attributes
+    ----------
+    context : EntryContext
+        Shared objects of the entry.
+    lease : Lease
+        Ownership lease, renewed by the manager.
+    log : ShardLog
+        Log of the shard after its recovery.
+    services : ShardServices
+        Objects shared with the entry's other shards.
+    """
+
+    context: EntryContext
+    lease: Lease
+    log: ShardLog
+    services: ShardServices
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/shard.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/shard.py
@@ -21,7 +21,7 @@
 )
 from pollenkeel_entry.batch.log import PendingAppend, ShardLog, count_fitting_events
 from pollenkeel_entry.batch.ownership import Lease
-from pollenkeel_entry.batch.services import ShardServices
+from pollenkeel_entry.batch.services import OwnedShard, ShardServices
 from pollenkeel_entry.batch.start_planner import StartPlanner
 from pollenkeel_entry.batch.state import apply
 from pollenkeel_entry.core.context import EntryContext
@@ -73,10 +73,9 @@
         self._lock = threading.RLock()
         self._closing = False
         self._inbox = EventInbox()
-        self._planner = StartPlanner(context, lease, log, services)
-        self._orders = AgentOrders(
-            context, lease, log, services, self._inbox, self._planner
-        )
+        owned = OwnedShard(context, lease, log, services)
+        self._planner = StartPlanner(owned)
+        self._orders = AgentOrders(owned, self._inbox, self._planner)
         #: Digest and result of jobs whose submission is not committed yet.
         self._submitting: dict[str, tuple[str, Future[CommitResult]]] = {}
         self._pending: tuple[PendingAppend, list[InboxItem]] | None = None
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/start_planner.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/start_planner.py
@@ -10,12 +10,10 @@
 from pollenkeel_entry.batch import records as rec
 from pollenkeel_entry.batch.forecast import DeadlineForecast, LateJob
 from pollenkeel_entry.batch.inbox import InboxItem
-from pollenkeel_entry.batch.log import ShardLog
-from pollenkeel_entry.batch.ownership import Lease, limit_task_lease
+from pollenkeel_entry.batch.ownership import limit_task_lease
 from pollenkeel_entry.batch.planning import Plan, Planner
-from pollenkeel_entry.batch.services import ShardServices
+from pollenkeel_entry.batch.services import OwnedShard
 from pollenkeel_entry.batch.state import ShardState
-from pollenkeel_entry.core.context import EntryContext
 from pollenkeel_kernel.config.model import ClusterConfig, PolicyConfig
 from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.messages import Resources, TaskExchangeReply, TaskKey
@@ -49,14 +47,8 @@
 
     Parameters
     ----------
-    context : EntryContext
-        Shared objects of the entry.
-    lease : Lease
-        Ownership lease of the shard.
-    log : ShardLog
-        Log of the shard.
-    services : ShardServices
-        Objects shared with the entry's other shards.
+    shard : OwnedShard
+        Log of the shard and the objects around it.
 
     Attributes
     ----------
@@ -66,17 +58,12 @@
 
     def __init__(
         self,
-        context: EntryContext,
-        lease: Lease,
-        log: ShardLog,
-        services: ShardServices,
+        shard: OwnedShard,
     ) -> None:
         self.forecast = DeadlineForecast(DeclaredRunTime())
-        self._context = context
-        self._timing = context.settings.timing
-        self._lease = lease
-        self._log = log
-        self._services = services
+        self._context, self._services = shard.context, shard.services
+        self._lease, self._log = shard.lease, shard.log
+        self._timing = shard.context.settings.timing
         self._planner: Planner | None = None
         self._policy: PolicyConfig | None = None
         self._placement: Placement | None = None
--- a/tests/contracts/test_platform_odd_entries.py
+++ b/tests/contracts/test_platform_odd_entries.py
@@ -1,6 +1,7 @@
 """Guards against entries of other writers that end a process or stop a reader."""
 
 import pytest
+from platform_heartbeat import HEARTBEAT
 from result import Ok
 
 from pollenkeel_jobs.core.agent import VmAgent
@@ -13,20 +14,6 @@
 from pollenkeel_platform.store import PlatformTables
 from pollenkeel_platform.worker import _decode_lists, decode_announcement
 
-HEARTBEAT = {
-    "Backend": "desk",
-    "Address": "10.0.0.1:80",
-    "Zone": "z1",
-    "Version": "v1",
-    "Slots": 8,
-    "State": "ready",
-    "ColdRemainingMs": 0,
-    "Capacity": {"Cpu": 16000, "MemMb": 32768, "Gpu": 0},
-    "Labels": ["a", "r1-3"],
-    "ClockMs": 482113,
-    "Seq": 4,
-    "born": 1_700_000_000_000,
-}
 DEEP = b"[" * 100_000
 
 
