--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -22,7 +22,7 @@
     VmReport,
     VmReportReply,
 )
-from pollenkeel_jobs.core.metrics import FILLING_CORES, SERVING_PRESSURE
+from pollenkeel_jobs.core.metrics import BEST_EFFORT_CORES, SERVING_PRESSURE
 from pollenkeel_jobs.core.pacing import Pace
 from pollenkeel_jobs.core.worker import (
     Worker,
@@ -55,8 +55,8 @@
 _MIN_POLL_INTERVAL = 0.02
 #: Seconds after an answer of the worker within which it can't have restarted.
 _MIN_RESTART_SECONDS = 0.2
-#: Number of revoked runs that are kept per incarnation of the worker; beyond that the
-#: oldest is dropped.
+#: Number of stopped, and of revoked, runs that are kept per incarnation of the worker;
+#: beyond that the oldest is dropped.
 _MAX_REVOKED_RUNS = 2000
 #: Threads that send starts to the worker, and threads for stops and for the poll that
 #: a new leader waits for, which must not wait behind starts.
@@ -173,6 +173,9 @@
         if state is None or refusal:
             return _refuse(message.starts, refusal)
         order = _make_order(state, message.epoch)
+        with self._lock:
+            for stop in message.stops:
+                _add_run(state.stopped, (stop.task_id, stop.run))
         stops = [
             self._control_pool.submit(self._stop, state, order, stop)
             for stop in message.stops
@@ -204,6 +207,8 @@
         run = (start.task_id, start.run)
         with self._lock:
             refusal = self._find_expiry_reason(state, message)
+            if not refusal and run in state.stopped:
+                refusal = "stopped"
             if refusal:
                 return OrderOutcome(start.task_id, start.run, _REFUSED, refusal)
             # A worker that does not answer may have crashed already.
@@ -257,14 +262,16 @@
         state: WorkerState,
         order: WorkerOrder,
         start: StartOrder,
-        harms: list[InterferingPair],
+        interfering_pairs: list[InterferingPair],
     ) -> None:
         """Throttle a newly started run if full speed would cause interference."""
         capacity_cpu = state.announcement.capacity.cpu
         with self._lock:
             run = start.task_id, start.run
             now = self._clock.now()
-            pace = state.pace.admit(run, start.profile, harms, capacity_cpu, now)
+            pace = state.pace.admit(
+                run, start.profile, interfering_pairs, capacity_cpu, now
+            )
         if pace is not None:
             self._send_pace(state, order, pace)
 
@@ -278,9 +285,7 @@
             )
             return
         with self._lock:
-            state.withdrawn[stop.task_id, stop.run] = None
-            while len(state.withdrawn) > _MAX_REVOKED_RUNS:
-                del state.withdrawn[next(iter(state.withdrawn))]
+            _add_run(state.withdrawn, (stop.task_id, stop.run))
 
     # Polling the worker and reporting to the leader.
 
@@ -395,7 +400,7 @@
                 state.pace.decide(
                     lists.running,
                     state.profiles_by_task,
-                    state.harms,
+                    state.interfering_pairs,
                     state.announcement.capacity.cpu,
                     self._clock.now(),
                 )
@@ -403,7 +408,7 @@
         for pace in changes:
             self._send_pace(state, order, pace)
         for what, cores in attrs.asdict(state.pace.best_effort_cores).items():
-            FILLING_CORES.labels(what).set(cores)
+            BEST_EFFORT_CORES.labels(what).set(cores)
         SERVING_PRESSURE.set(state.pace.pressure)
 
     def _send_pace(self, state: WorkerState, order: WorkerOrder, pace: Pace) -> None:
@@ -493,7 +498,7 @@
                 return False
             state.lease_until = max(state.lease_until, reply.lease_until)
             state.recorded_through = max(state.recorded_through, reply.recorded_through)
-            state.harms = reply.harms
+            state.interfering_pairs = reply.harms
             for profile in reply.profiles:
                 state.profiles_by_task[profile.task_id] = profile
             self._drop_recorded_runs(state, report, reply.recorded_through)
@@ -516,6 +521,13 @@
     return WorkerOrder(announcement.worker_id, announcement.born, epoch)
 
 
+def _add_run(runs: dict[tuple[str, int], None], run: tuple[str, int]) -> None:
+    """Add a run to an ordered set; the oldest is dropped once there are too many."""
+    runs[run] = None
+    while len(runs) > _MAX_REVOKED_RUNS:
+        del runs[next(iter(runs))]
+
+
 def _get_state_name(state: WorkerState) -> str:
     """Return the state of a worker as reports name it."""
     if not state.announced:
