Play chosen faults in the soak and find unfounded failures and idle jobs

Callers saw accepted jobs without a run and jobs shown as failed without a cause while workers crashed. The soak played such crashes among many other faults, and checked neither.

--fault plays only chosen faults, each within a second, and the load "many small jobs" submits seven jobs a second. Two checks are new: a job shown as failed needs a task with as many failed runs as the queue has attempts (no task of the soak crashes a worker), and no job may have nothing running for 3 s, from 4 s after the last fault on, while under half of the room is in use.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,7 +19,9 @@
 #: Seconds after its acceptance within which every entry must show a job.
 _VISIBILITY_SECONDS = 3.0
 #: Capacity of a runner in thousandths of a core.
-_CAPACITY = 4000
+CAPACITY = 4000
+#: Failed runs of one task after which its job fails, as configured by ``JobSite``.
+_ATTEMPTS = 3
 
 
 def find_violations(runs: list[Run], jobs_by_id: Mapping[str, SoakJob]) -> list[str]:
@@ -33,6 +35,7 @@
         *_find_unexpected_runs(runs_by_task, jobs_by_id),
         *_find_overloaded_runners(runs, jobs_by_id),
         *_find_wrong_states(jobs_by_id),
+        *_find_unfounded_failures(runs_by_task, jobs_by_id),
     ]
 
 
@@ -96,8 +99,8 @@
         used = 0
         for at, cpu, task in sorted(rows):
             used += cpu
-            if used > _CAPACITY:
-                yield f"runner {runner} has {used} of {_CAPACITY} at {at}: {task}"
+            if used > CAPACITY:
+                yield f"runner {runner} has {used} of {CAPACITY} at {at}: {task}"
 
 
 def _find_wrong_states(jobs_by_id: Mapping[str, SoakJob]) -> Iterator[str]:
@@ -109,3 +112,20 @@
             yield f"{job.job_id} was accepted and is not found"
         if job.accepted_at and "cancelled" in finals and not job.cancels:
             yield f"{job.job_id} was shown as cancelled without a cancellation"
+
+
+def _find_unfounded_failures(
+    runs_by_task: Mapping[str, list[Run]], jobs_by_id: Mapping[str, SoakJob]
+) -> Iterator[str]:
+    # No task of these jobs crashes a runner, so only failed runs are a cause.
+    failures_by_job: dict[str, int] = defaultdict(int)
+    for task, runs in runs_by_task.items():
+        job_id = task.split(".")[0]
+        failures = sum(run["how"] == "failed" for run in runs)
+        failures_by_job[job_id] = max(failures_by_job[job_id], failures)
+    for job in jobs_by_id.values():
+        if "failed" in job.states and failures_by_job[job.job_id] < _ATTEMPTS:
+            yield (
+                f"shown as failed without cause: {job.job_id} after"
+                f" {failures_by_job[job.job_id]} failed runs"
+            )
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -20,7 +20,7 @@
 #: Seconds after a submission at which some clients cancel.
 _CANCEL_DELAY = 1.0
 #: States in which a job has ended.
-_FINAL_STATES = ("done", "failed", "cancelled")
+FINAL_STATES = ("done", "failed", "cancelled")
 
 
 @attrs.define
@@ -153,7 +153,7 @@
 
         def all_ended() -> bool:
             for job in list(open_jobs.values()):
-                if self.query_state(job, rng) in _FINAL_STATES:
+                if self.query_state(job, rng) in FINAL_STATES:
                     del open_jobs[job.job_id]
             return not open_jobs
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,7 +6,7 @@
 import random
 import threading
 from abc import ABC, abstractmethod
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 
 import attrs
 
@@ -249,13 +249,22 @@
 
 
 def plan_faults(
-    site: SoakSite, rng: random.Random, seed: int, seconds: float
+    site: SoakSite,
+    rng: random.Random,
+    seed: int,
+    seconds: float,
+    names: Collection[str] = (),
 ) -> list[PlannedFault]:
     """Return the random faults of a run; some of them overlap.
 
-    ``rng`` determines all faults but those of runners, which ``seed`` determines.
+    ``rng`` determines all faults but those of runners, which ``seed`` determines. If
+    ``names`` are given, only these faults are played, and each ends within a second.
     """
     runner_rng = random.Random(f"runner faults {seed}")
+    if names:
+        chosen = {name: ALL_FAULTS_BY_NAME[name] for name in names}
+        planned = _plan(site, runner_rng, seconds, chosen, _RUNNER_FAULT_INTERVAL)
+        return [attrs.evolve(f, seconds=min(f.seconds, 1.0)) for f in planned]
     return [
         *_plan(site, rng, seconds, FAULTS_BY_NAME, _FAULT_INTERVAL),
         *_plan(
--- a/tests/soak/loads.py
+++ b/tests/soak/loads.py
@@ -139,6 +139,23 @@
         site.write_operator_row(f"evacuate/{CLOSED_ZONE}", None)
 
 
+@attrs.define
+class ManySmallJobs(Load):
+    """Jobs of short tasks that use a third of the room; chosen by name only."""
+
+    seconds: float = 40.0
+    jobs_per_second: float = 7.0
+    _pause: threading.Event = attrs.field(factory=threading.Event)
+
+    def play(self, site: SoakSite, clients: SoakClients, rng: random.Random) -> None:
+        """Submit the jobs."""
+        stop_at = time.monotonic() + self.seconds
+        while time.monotonic() < stop_at:
+            step = _make_step(rng.randint(1, 10), 100)
+            clients.submit_new([step], f"run {rng.uniform(0.3, 1.6):.2f}", rng)
+            self._pause.wait(rng.expovariate(self.jobs_per_second))
+
+
 #: In the order in which they are finished. ``LongTasks`` comes first, since its job
 #: ends only once it is cancelled.
 LOADS_BY_NAME: dict[str, type[Load]] = {
@@ -147,6 +164,10 @@
     "many ends": ManyEnds,
     "closed data centre": ClosedDataCentre,
 }
+ALL_LOADS_BY_NAME: dict[str, type[Load]] = {
+    **LOADS_BY_NAME,
+    "many small jobs": ManySmallJobs,
+}
 
 
 def choose_loads(seed: int) -> list[str]:
@@ -187,7 +208,7 @@
         self._site = site
         self._clients = clients
         self._rng = random.Random(0)
-        self._loads = [LOADS_BY_NAME[name]() for name in names]
+        self._loads = [ALL_LOADS_BY_NAME[name]() for name in names]
         self._threads = [
             threading.Thread(
                 target=load.play,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,7 +7,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
@@ -17,7 +17,8 @@
 from soak.checks import find_violations
 from soak.clients import SoakClients, SoakJob
 from soak.faults import ALL_FAULTS_BY_NAME, PlannedFault, plan_faults
-from soak.loads import LOADS_BY_NAME, PlayedLoads, choose_loads
+from soak.idle import IdleJobs
+from soak.loads import ALL_LOADS_BY_NAME, PlayedLoads, choose_loads
 from soak.site import SoakSite
 
 _ENTRIES = 2
@@ -26,6 +27,8 @@
 _CHECK_SECONDS = 1.0
 #: Seconds after the last fault within which all jobs must end.
 _SETTLE_SECONDS = 60.0
+#: Seconds for which jobs without a run are searched for.
+_IDLE_WATCH_SECONDS = 14.0
 #: Number of violations of one rule that are shown.
 _LINES_PER_RULE = 3
 
@@ -60,6 +63,7 @@
     directory: Path,
     loads: Iterable[str] | None = None,
     with_faults: bool = True,
+    chosen_faults: Collection[str] = (),
 ) -> SoakResult:
     """Run the soak with one seed and check its invariants.
 
@@ -76,19 +80,27 @@
         Names of the loads beside the random jobs; chosen by the seed if left out.
     with_faults : bool
         Whether faults are injected.
+    chosen_faults : collection of str
+        Names of the only faults that are injected; all kinds if empty.
     """
     names = list(choose_loads(seed) if loads is None else loads)
     rng = random.Random(seed)
     violations: dict[str, None] = {}
     with SoakSite(directory, rng, _ENTRIES, _VMS) as site:
-        faults = plan_faults(site, rng, seed, seconds) if with_faults else []
+        faults = (
+            plan_faults(site, rng, seed, seconds, chosen_faults) if with_faults else []
+        )
         with SoakClients(site, seed, _ENTRIES) as clients:
             played = PlayedLoads(site, clients, names)
             _inject(site, faults, seconds, clients.jobs_by_id, violations)
             clients.stop()
             played.join()
             site.heal()
+            idle_jobs = IdleJobs(time.time(), _VMS)
             violations |= dict.fromkeys(played.finish())
+            violations |= dict.fromkeys(
+                idle_jobs.watch(site, clients, _IDLE_WATCH_SECONDS)
+            )
             unfinished = clients.wait_for_ends(_SETTLE_SECONDS)
         violations |= dict.fromkeys(f"never ended: {job}" for job in unfinished)
         runs = site.read_runs()
@@ -131,11 +143,16 @@
 
 
 def _run_seed(
-    seed: int, seconds: float, directory: str, loads: list[str] | None, faults: bool
+    seed: int,
+    seconds: float,
+    directory: str,
+    loads: list[str] | None,
+    faults: bool,
+    chosen_faults: tuple[str, ...],
 ) -> SoakResult:
     path = Path(directory) / f"seed-{seed}"
     path.mkdir(parents=True, exist_ok=True)
-    return run_soak(seed, seconds, path, loads, faults)
+    return run_soak(seed, seconds, path, loads, faults, chosen_faults)
 
 
 def shorten(violations: list[str]) -> Iterator[str]:
@@ -159,9 +176,16 @@
     "--load",
     "loads",
     multiple=True,
-    type=click.Choice([*LOADS_BY_NAME, "none"]),
+    type=click.Choice([*ALL_LOADS_BY_NAME, "none"]),
     help="load beside the random jobs; default: by seed",
 )
+@click.option(
+    "--fault",
+    "chosen_faults",
+    multiple=True,
+    type=click.Choice(list(ALL_FAULTS_BY_NAME)),
+    help="play only this kind of fault, each within a second",
+)
 @click.option("--faults/--no-faults", default=True, show_default=True)
 def main(
     first: int,
@@ -171,6 +195,7 @@
     logs: str,
     loads: tuple[str, ...],
     faults: bool,
+    chosen_faults: tuple[str, ...],
 ) -> None:
     """Run the soak with several seeds; print violations and exit with 1 if any."""
     names = [name for name in loads if name != "none"] if loads else None
@@ -178,7 +203,9 @@
     violating_runs = 0
     with ProcessPoolExecutor(jobs) as pool:
         futures = [
-            pool.submit(_run_seed, seed, seconds, directory, names, faults)
+            pool.submit(
+                _run_seed, seed, seconds, directory, names, faults, chosen_faults
+            )
             for seed in range(first, first + runs)
         ]
         for future in futures:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,6 +4,7 @@
 
 from soak.checks import find_violations
 from soak.clients import SoakJob
+from soak.idle import IdleJobs
 from soak.loads import LOADS_BY_NAME, choose_loads
 from soak.run import run_soak, shorten
 
@@ -80,6 +81,11 @@
         ),
         ([], make_job(states=["done", "failed"]), "was shown as"),
         ([], make_job(unknown_at=9.0), "is not found"),
+        (
+            [make_run(how="failed"), make_run(run=2, start=3.0, end=4.0)],
+            make_job(states=["running", "failed"]),
+            "without cause",
+        ),
     ],
 )
 def test_violations_are_found(runs, job, found):
@@ -88,6 +94,25 @@
     assert any(found in line for line in lines) if found else not lines
 
 
+@pytest.mark.parametrize(
+    ("end", "now", "idle"), [(9.0, 11.0, False), (9.0, 13.0, True), (1.0, 7.0, False)]
+)
+def test_jobs_without_a_run_are_found(end, now, idle):
+    """Guards against a check that misses jobs that wait beside free VMs."""
+    jobs = IdleJobs(since=0.0, vms=1)
+    jobs.check([make_run(end=end)], {"a": make_job()}, now)
+    assert ("a" in jobs.seconds_by_job) is idle
+
+
+def test_job_may_wait_while_there_is_little_room():
+    """Guards against waiting that is counted while the VMs are busy."""
+    runs = [make_run(end=1.0), make_run("b.0.0.0", how="running", end=20.0)]
+    jobs = IdleJobs(since=0.0, vms=1)
+    jobs.check(runs, {"a": make_job(), "b": make_job()}, 20.0)
+    jobs.check(runs[:1], {"a": make_job()}, 22.0)
+    assert not jobs.seconds_by_job
+
+
 def test_job_that_was_refused_must_not_run():
     """Guards against a missed run of a job that was rejected as not run."""
     job = SoakJob("a", make_job().steps, False, refused_at=0.5)
