Give a task up only on evidence that it crashed its workers

Callers saw jobs shown as failed although none of their tasks ever crashed a worker.

Cause: each crash of a worker counted in full for every task that had just been started there, and three crashes, or two with the last as the only suspect, gave a task up. A worker may well crash by chance beside a fresh task. A run that ended by itself on a worker that lived on did not count in favour of its task, and the agent reported a run as suspect however long its worker had listed it.

Now a run that ended done or failed clears its task as one that was listed for 2 s does, and the agent leaves out runs that it saw listed for 2 s. The agent also says which suspects the worker has outlived: a list shows the run at least 0.1 s after the first response to its start. A task that crashes its worker does so at once. A task is given up after four crashes at once after its start, and after five crashes in any case, which keeps the promise of at most five starts. The crashes at once are a third field of the task's crashes in the job's row, only written if there are any; rows of earlier versions stay readable.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -213,7 +213,7 @@
         result = self._worker.start(order, start, payload, message.deadline)
         if not isinstance(result, Err) or not result.err_value.timed_out:
             with self._lock:
-                state.starts.confirm(run)
+                state.starts.confirm(run, self._clock.now())
         if isinstance(result, Err):
             failure = result.err_value
             if failure.refused or failure.born:
@@ -351,7 +351,8 @@
             state.first_ended = min((e.number for e in lists.ended), default=math.inf)
             state.starts.forget((end.task_id, end.run) for end in lists.ended)
             for listed in lists.running:
-                state.starts.confirm((listed.task_id, listed.run))
+                run = listed.task_id, listed.run
+                state.starts.record_listed(run, state.listed_at)
         # Only the polls of ``run`` adjust speed caps, not the one for a new leader.
         if seconds:
             self._update_paces(state, order, lists)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
@@ -9,19 +9,19 @@
 from pollenkeel_jobs.core.job_table import JobTable
 from pollenkeel_jobs.core.messages import WorkerCrash
 from pollenkeel_jobs.core.model import Task, TaskState
+from pollenkeel_jobs.core.start_history import SOUND_SECONDS
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.logs import log_change
 
 logger = logbook.Logger("scheduler")
 
-#: Number of crashes of workers after which a task is given up: if it was the only one
-#: that had just been started at the last crash, and if there were others or the worker
-#: may have crashed before it received the start.
-_MAX_CRASHES_ALONE = 2
-_MAX_CRASHES = 3
-#: Seconds for which a worker must list a run that is no suspect any more. A task that
-#: crashes its worker does so shortly after its start.
-_SOUND_SECONDS = 2.0
+#: Number of crashes at once after its start after which a task is given up. Most
+#: suspects of a crash have nothing to do with it, and a worker may crash by chance just
+#: after a start; that one task is hit so often in a row is unlikely.
+_MAX_CRASHES_AT_ONCE = 4
+#: Number of crashes after which a task is given up in any case. More than five starts
+#: of a task that crashes each worker break a promise to the operators.
+_MAX_CRASHES = 5
 
 
 def record_sound_run(jobs: JobTable, vm: Vm, task: Task) -> None:
@@ -37,12 +37,14 @@
         The task.
     """
     listed_ms = vm.clock - task.progress.listed_at
-    if task.sound_run == task.run or listed_ms < _SOUND_SECONDS * 1000:
-        return
-    task.sound_run = task.run
-    if task.crashed_on:
-        task.crashed_on.clear()
-        _acquit(jobs, task)
+    if task.sound_run < task.run and listed_ms >= SOUND_SECONDS * 1000:
+        _record_sound(jobs, task, task.run)
+
+
+def record_own_end(jobs: JobTable, task: Task, run: int) -> None:
+    """Acquit a task of which a run ended by itself, as its worker lived on."""
+    if task.sound_run < run:
+        _record_sound(jobs, task, run)
 
 
 def record_crash(jobs: JobTable, crash: WorkerCrash) -> Iterator[Task]:
@@ -59,6 +61,7 @@
     crash : WorkerCrash
         Crash as reported by the agent of the VM.
     """
+    at_once = set(crash.suspects) - set(crash.outlived) if crash.began else set()
     for run in crash.suspects:
         task = jobs.find_task(run.task_id)
         if task is None or task.job.status.final or task.state is TaskState.DONE:
@@ -70,10 +73,10 @@
             _acquit(jobs, task)
             continue
         task.crashed_on.add(crash.worker)
+        if run in at_once:
+            task.crashed_at_once.add(crash.worker)
         jobs.dirty[task.job] = None
-        crashes = len(task.crashed_on)
-        alone = len(crash.suspects) == 1 and crash.began
-        given_up = crashes >= (_MAX_CRASHES_ALONE if alone else _MAX_CRASHES)
+        given_up = _is_guilty(task)
         log_change(
             logger,
             "task suspected of a crash",
@@ -82,13 +85,31 @@
             vm=crash.worker.partition("/")[0],
             worker=crash.worker,
             suspects=len(crash.suspects),
-            crashes=crashes,
+            at_once=run in at_once,
+            crashes=len(task.crashed_on),
             given_up=given_up,
         )
         if given_up:
             yield task
 
 
+def _is_guilty(task: Task) -> bool:
+    """Return whether there is enough evidence that a task crashes its workers."""
+    return (
+        len(task.crashed_at_once) >= _MAX_CRASHES_AT_ONCE
+        or len(task.crashed_on) >= _MAX_CRASHES
+    )
+
+
+def _record_sound(jobs: JobTable, task: Task, run: int) -> None:
+    """Record a run that did not crash its worker, and drop the crashes before it."""
+    task.sound_run = run
+    if task.crashed_on:
+        task.crashed_on.clear()
+        task.crashed_at_once.clear()
+        _acquit(jobs, task)
+
+
 def _acquit(jobs: JobTable, task: Task) -> None:
     """Record that no crash counts up to the latest sound run of a task."""
     task.acquitted_through = task.sound_run
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -202,11 +202,14 @@
         Runs that were started shortly before and may have crashed it.
     began : bool
         Whether the worker is known to have received the starts of all suspects.
+    outlived : list of RunKey
+        Suspects after whose start the worker is known to have lived on for a while.
     """
 
     worker: str
     suspects: list[RunKey] = attrs.field(factory=list)
     began: bool = True
+    outlived: list[RunKey] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
@@ -105,16 +105,27 @@
 
 
 def _encode_crashes(task: Task) -> list[Any]:
-    if task.acquitted_through:
-        return [sorted(task.crashed_on), task.acquitted_through]
-    return [sorted(task.crashed_on)] if task.crashed_on else []
+    """Return what is known of crashes under a task, without defaults at the end."""
+    fields: list[Any] = [
+        sorted(task.crashed_on),
+        task.acquitted_through,
+        sorted(task.crashed_at_once),
+    ]
+    while fields and not fields[-1]:
+        fields.pop()
+    return fields
 
 
-def _decode_crashes(
-    workers: Iterable[object] = (), acquitted_through: int = 0
-) -> tuple[set[str], int]:
+def _apply_crashes(
+    task: Task,
+    workers: Iterable[object] = (),
+    acquitted_through: int = 0,
+    crashed_at_once: Iterable[object] = (),
+) -> None:
     _check_count("acquitted_through", acquitted_through, 0)
-    return {_check_text("crashed worker", w) for w in workers}, acquitted_through
+    task.acquitted_through = acquitted_through
+    task.crashed_on = {_check_text("crashed worker", w) for w in workers}
+    task.crashed_at_once = {_check_text("crashed worker", w) for w in crashed_at_once}
 
 
 def _check_text(name: str, value: object) -> str:
@@ -391,7 +402,7 @@
     task.run, task.failures = run, failures
     task.runner = _check_text("runner", runners[runner])
     task.checkpoint = _check_text("checkpoint", checkpoint)
-    task.crashed_on, task.acquitted_through = _decode_crashes(*crashes)
+    _apply_crashes(task, *crashes)
 
 
 def _encode_step(step: StepSpec) -> dict[str, Any]:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -6,7 +6,11 @@
 
 import logbook
 
-from pollenkeel_jobs.core.crashes import record_crash, record_sound_run
+from pollenkeel_jobs.core.crashes import (
+    record_crash,
+    record_own_end,
+    record_sound_run,
+)
 from pollenkeel_jobs.core.fleet import Fleet
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
@@ -230,6 +234,8 @@
         task.runner = ""
         self._jobs.mark_started(task.job)
         store_checkpoint(task, ended.checkpoint)
+        if ended.how in ("done", "failed"):
+            record_own_end(self._jobs, task, ended.run)
         if ended.how in ("done", "failed") and not task.step.long_running:
             self._record_vm_result(vm, task, ended.how == "failed", now)
         if task.job.status.final or task.state is TaskState.DONE:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
@@ -291,13 +291,15 @@
         began = state.starts.is_confirmed(runs)
         suspects = [RunKey(*run) for run in runs]
         worker = self.get_vm_incarnation(state)
-        self.crashes.append(WorkerCrash(worker, suspects, began))
+        outlived = [RunKey(*run) for run in state.starts.find_outlived(runs)]
+        self.crashes.append(WorkerCrash(worker, suspects, began, outlived))
         log_change(
             logger,
             "worker crashed",
             worker=worker,
             suspects=[f"{run.task_id}:{run.run}" for run in suspects],
             began=began,
+            outlived=len(outlived),
         )
 
     def record_departure(self, worker_id: str, born: int) -> None:
--- /dev/null
+++ b/packages/pollenkeel-jobs/tests/core/test_crash_suspects.py
@@ -0,0 +1,85 @@
+"""Guards against innocent tasks that suffer from crashes beside them (LOST)."""
+
+import pytest
+from crash_play import STEP, RandomKills
+from jobs_doubles import Site, make_job
+
+from pollenkeel_jobs.core.messages import RunKey
+from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
+
+#: Starts of a task that crashes each worker, as promised to the operators.
+MAX_STARTS = 5
+SEEDS = range(8)
+
+
+def add_random_job(play, number, tasks=10):
+    """Add a job of the kind of which seven a second use a third of four VMs."""
+    rng = play.rng
+    play.add_job(f"j{number}", rng.randint(1, tasks), rng.uniform(0.3, 1.6))
+
+
+def play_random_kills(play, seconds=45.0):
+    """Add jobs for a time and kill one or two workers every few seconds."""
+    number = 0
+    next_job_at = next_kill_at = play.clock.now()
+    stop_at = next_job_at + seconds
+    while play.clock.now() < stop_at:
+        now = play.clock.now()
+        while next_job_at <= now:
+            add_random_job(play, number)
+            number += 1
+            next_job_at += play.rng.expovariate(7.0)
+        if next_kill_at <= now:
+            for vm in play.rng.sample(play.site.vms, play.rng.choice((1, 2))):
+                play.kill(vm)
+            next_kill_at = now + play.rng.uniform(1.0, 6.0)
+        play.step()
+
+
+def settle(play, seconds):
+    for _ in range(int(seconds / STEP)):
+        play.step()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_jobs_beside_killed_workers_are_done(clock, seed):
+    """Guards against jobs that fail as workers were killed beside them (LOST)."""
+    play = RandomKills(clock, seed)
+    play_random_kills(play)
+    settle(play, 6.0)
+    assert play.suspected
+    assert play.find_jobs(JobStatus.FAILED) == set()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_only_guilty_tasks_are_given_up_beside_killed_workers(clock, seed):
+    """Guards against more starts than promised, and innocent jobs that are given up."""
+    guilty = {f"j{number}.0.0.0" for number in (20, 90, 91, 160)}
+    play = RandomKills(clock, seed, guilty=guilty)
+    play_random_kills(play, 30.0)
+    settle(play, 20.0)
+    assert play.find_jobs(JobStatus.FAILED) <= {"j20", "j90", "j91", "j160"}
+    assert max(play.starts_by_guilty.values()) <= MAX_STARTS
+
+
+def crash_alone(site):
+    """Crash the worker with the only run at once after its start."""
+    holder = next(vm for vm in site.vms if vm.running)
+    run = holder.running[0]
+    holder.crash(RunKey(run.task_id, run.run))
+    site.step()
+    site.step()
+
+
+def test_run_that_failed_on_a_worker_that_lived_on_clears_its_task(clock):
+    """Guards against crashes that count although the task has run since (LOST)."""
+    site = Site(clock, vms=4)
+    site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 1000), 1.0),)))
+    site.step()
+    for _ in range(3):
+        crash_alone(site)
+    next(vm for vm in site.vms if vm.running).end("j1.0.0.0", "failed")
+    site.step()
+    for _ in range(3):
+        crash_alone(site)
+    assert site.scheduler.find_status("j1") is JobStatus.RUNNING
