Bound the wait of suspected tasks whatever their number

Callers saw accepted jobs with nothing running for 12 s and longer after crashes of workers, while VMs were nearly idle.

Cause: suspects were tried apart on at most a quarter of the VMs, those of one crash in groups of 8 to the square root of their number, and those of two crashes one by one unless they shared both crashes. So the wait grew with the number of suspects and of crashes.

Now groups are as large as the cube root of the number needs, and mix crashes. A group is tried until the second list with it (0.3 s), a task of three crashes alone for 1 s. All VMs may have trials unless other tasks wait for a VM. A suspect of one or two crashes that has waited 1.5 s may join any group and takes its turn among the other tasks. A suspect does not start together with tasks that are not on trial, which would be suspected as well.

Changed tests: the search that test_waiting.py compares with has the new rules and more kinds of suspects. Suspects of two crashes may be tried on two VMs at the same time, so the case with two VMs expects one on each.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -15,6 +15,11 @@
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.pacing import MIN_HEADROOM
 from pollenkeel_jobs.core.reservations import Reservations
+from pollenkeel_jobs.core.trials import (
+    awaits_order,
+    has_waited_for_trial,
+    is_tried_apart,
+)
 from pollenkeel_jobs.core.vms import Vm
 
 #: Load added for each unit of headroom that a latency-critical task would lose.
@@ -46,6 +51,9 @@
 _FAILED_BEFORE_PENALTY = 5.0
 #: Load added while a run on the VM seems to have stalled, see ``Vm.avoided_until``.
 _AVOIDED_PENALTY = 2.0
+#: Obstacles of a VM that never runs such a task.
+SERVICE = "service"
+LABEL = "label"
 #: Obstacle of a VM whose free resources are too small.
 NO_ROOM = "room"
 #: Obstacle of a VM on which other tasks are on trial.
@@ -133,6 +141,7 @@
             self.has_waited_long(task),
             frozenset(task.failed_on),
             frozenset(task.crashed_on),
+            has_waited_for_trial(task, self.now),
         )
 
     def score(self, task: Task, vm: Vm) -> float | None:
@@ -144,7 +153,7 @@
 
     def find_obstacle(self, task: Task, vm: Vm) -> str:
         """Return why a task may not run on a VM, or an empty string if it may."""
-        obstacle = _find_unmet_demand(task, vm)
+        obstacle = _find_unmet_demand(task, vm, self.now)
         if not obstacle and not self._has_unreserved_room(task, vm):
             obstacle = _RESERVED
         if not obstacle and self.would_interfere_too_much(task, vm):
@@ -231,14 +240,14 @@
         )
 
 
-def _find_unmet_demand(task: Task, vm: Vm) -> str:
+def _find_unmet_demand(task: Task, vm: Vm, now: float) -> str:
     """Return what a VM lacks for a task, or an empty string."""
     step = task.step
     if vm.service != task.job.spec.queue.service:
-        return "service"
+        return SERVICE
     if step.label and step.label not in vm.labels:
-        return "label"
-    if not vm.trial.admits(task):
+        return LABEL
+    if not vm.trial.admits(task, now) or _would_start_beside_others(task, vm, now):
         return _TRIAL
     if not vm.has_room_for(step.reserved):
         return NO_ROOM
@@ -247,3 +256,17 @@
     if step.spread_limit and vm.count_step_tasks(task) >= step.spread_limit:
         return SPREAD_LIMIT
     return ""
+
+
+def _would_start_beside_others(task: Task, vm: Vm, now: float) -> bool:
+    """Return whether a suspect would start together with tasks that are not on trial.
+
+    They would be suspected as well, and the task would not be the only suspect. One
+    that has waited for long may do so, as such starts may never cease.
+    """
+    if not is_tried_apart(task) or has_waited_for_trial(task, now):
+        return False
+    return any(
+        awaits_order(other) and not is_tried_apart(other)
+        for other in vm.tasks_by_id.values()
+    )
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -11,14 +11,15 @@
 from pollenkeel_jobs.core.gangs import choose_for_gang
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
 from pollenkeel_jobs.core.model import Task
-from pollenkeel_jobs.core.placement import Placement
+from pollenkeel_jobs.core.placement import LABEL, SERVICE, Placement
 from pollenkeel_jobs.core.reservations import Reservations
-from pollenkeel_jobs.core.trials import is_tried_apart
+from pollenkeel_jobs.core.trials import is_tried_apart, may_join_any_group
 from pollenkeel_jobs.core.unplaceable import StepKey, Unplaceable, get_step
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_jobs.core.waiting import DemandKind, WaitingTasks, get_priority
 
-#: Share of the VMs that may have tasks on trial (``Vm.trial``) at the same time.
+#: Share of the VMs that may have tasks on trial (``Vm.trial``) at the same time while
+#: other tasks wait.
 _MAX_TRIAL_SHARE = 0.25
 #: Number of steps for which tickets are requested although no VM has room for them.
 _MAX_STEPS_AHEAD = 50
@@ -102,10 +103,10 @@
         unplaceable = Unplaceable(self._placement, vms)
         candidates: Candidates | None = None
         for kind, task in self._iterate_placeable(unplaceable, vms, now):
-            if task.crashed_on and not _may_try(task, vms):
+            if task.crashed_on and not self._may_try(task, vms):
                 self._record_unplaced(kind, task)
                 if is_tried_apart(task):
-                    unplaceable.add_crashes(task)
+                    unplaceable.add_untried(task)
                 continue
             if not is_tried_apart(task) and unplaceable.rules_out(kind):
                 self._record_unplaced(kind, task)
@@ -123,6 +124,23 @@
                 unplaceable.add(kind, task)
                 self._record_unplaced(kind, task)
 
+    def _may_try(self, task: Task, vms: list[Vm]) -> bool:
+        """Return whether a suspected task may begin a trial or join one."""
+        on_trial = [vm for vm in vms if vm.trial]
+        if len(on_trial) < self._limit_trials(vms):
+            return True
+        return any(vm.trial.admits(task, self._placement.now) for vm in on_trial)
+
+    def _limit_trials(self, vms: list[Vm]) -> float:
+        """Return how many VMs may be on trial: few while other tasks wait for a VM."""
+        others_wait = any(
+            self._placement.find_obstacle(task, vm) not in (SERVICE, LABEL)
+            for (_, crashes), task in self._unplaced_by_kind.items()
+            for vm in vms
+            if not crashes
+        )
+        return max(1.0, _MAX_TRIAL_SHARE * len(vms)) if others_wait else len(vms)
+
     def _record_unplaced(self, kind: DemandKind, task: Task) -> None:
         self._unplaced_by_kind.setdefault((kind, len(task.crashed_on)), task)
 
@@ -132,7 +150,7 @@
             task = reservation.task
             if reservation.vm not in vms:
                 continue
-            if task.crashed_on and not _may_try(task, vms):
+            if task.crashed_on and not self._may_try(task, vms):
                 continue
             self._reservations.remove(reservation)
             allowed = self._filter_by_ticket(task, [reservation.vm])
@@ -202,28 +220,21 @@
     """Yield the waiting tasks by urgency, but suspects after the others.
 
     A trial keeps a VM from the others, which would wait for all suspects if there is no
-    other VM. Only a lower priority comes later than suspects.
+    other VM. Only a lower priority comes later than suspects. Those that have waited
+    so long that one group may have them all take their turn by urgency.
     """
     suspects: list[tuple[Task, DemandKind]] = []
     for _, _, task, kind in waiting.list_by_urgency(now):
         if suspects and get_priority(task) != get_priority(suspects[0][0]):
             yield from suspects
             suspects = []
-        if is_tried_apart(task):
+        if is_tried_apart(task) and not may_join_any_group(task, now):
             suspects.append((task, kind))
         else:
             yield task, kind
     yield from suspects
 
 
-def _may_try(task: Task, vms: list[Vm]) -> bool:
-    """Return whether a suspected task may begin a trial or join one."""
-    on_trial = [vm for vm in vms if vm.trial]
-    if len(on_trial) < max(1.0, _MAX_TRIAL_SHARE * len(vms)):
-        return True
-    return any(vm.trial.admits(task) for vm in on_trial)
-
-
 def _place_task(task: Task, candidates: Candidates) -> list[Placed]:
     """Place a task on the best candidate, if there is one."""
     vm = candidates.reserve(task)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/trials.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/trials.py
@@ -8,19 +8,32 @@
 
 from pollenkeel_jobs.core.model import Task, TaskState
 
-#: Seconds for which a worker must run suspected tasks before it gets other ones.
-TRIAL_SECONDS = 1.0
-#: Number of suspects that may be tried together however few there are.
+#: Seconds for which a worker must list suspects before it gets other tasks. A group is
+#: tried until the second list with it, and a task that is tried alone for longer, as
+#: the evidence against it is stronger.
+_GROUP_SECONDS = 0.3
+_ALONE_SECONDS = 1.0
+#: Number of crashes from which on a suspect is tried alone.
+_MIN_CRASHES_ALONE = 3
+#: Number of suspects of one crash that may be tried together however few there are.
 _MIN_GROUP = 8
+#: Seconds after which a suspect may join any group, however large.
+_MAX_WAIT_SECONDS = 1.5
 
 
 @attrs.define
 class Trial:
     """Suspected tasks that a VM runs before it gets other tasks.
 
-    Most suspects of a crash have nothing to do with it. So those of a single crash are
-    tried together, and alone only after a second one. The members of a group start at
-    the same time: which of them crashed the worker is not known otherwise.
+    Most suspects of a crash have nothing to do with it. So they are tried in groups,
+    which get smaller with each crash. The members of a group start at the same time:
+    which of them crashed the worker is not known otherwise.
+
+    A suspect of one or two crashes waits for at most ``_MAX_WAIT_SECONDS`` and the
+    present trial, as long as a VM that may be on trial has room for it: then it joins
+    a group of any size. A suspect of three crashes is tried alone. Those of one crash
+    then wait for each other, but there are as many as the cube root of the suspects
+    of the first crash, unless the groups had to be larger for the sake of the wait.
 
     Attributes
     ----------
@@ -33,18 +46,18 @@
     def __bool__(self) -> bool:
         return bool(self.tasks_by_id)
 
-    def admits(self, task: Task) -> bool:
+    def admits(self, task: Task, now: float) -> bool:
         """Return whether a task may be placed beside the tasks on trial."""
         if not self.tasks_by_id:
             return True
-        return (
-            is_tried_apart(task)
-            and len(task.crashed_on) == 1
-            and len(self.tasks_by_id) < _limit_group(task)
-            and all(
-                member.crashed_on == task.crashed_on and _awaits_order(member)
-                for member in self.tasks_by_id.values()
-            )
+        if not is_tried_apart(task) or _is_tried_alone(task):
+            return False
+        members = self.tasks_by_id.values()
+        if not all(awaits_order(m) and not _is_tried_alone(m) for m in members):
+            return False
+        return may_join_any_group(task, now) or (
+            len(members) < _limit_group(task)
+            and all(len(m.crashed_on) == len(task.crashed_on) for m in members)
         )
 
     def add(self, task: Task) -> None:
@@ -58,7 +71,8 @@
 
     def record_run(self, task: Task, now: float) -> None:
         """Remove a task that its worker has listed for long enough."""
-        if now - task.seen_at >= TRIAL_SECONDS:
+        seconds = _ALONE_SECONDS if _is_tried_alone(task) else _GROUP_SECONDS
+        if now - task.seen_at >= seconds:
             self.remove(task)
 
 
@@ -70,15 +84,31 @@
     return bool(task.crashed_on) and not task.step.gang
 
 
+def has_waited_for_trial(task: Task, now: float) -> bool:
+    """Return whether a suspect has waited so long that rules are lifted for it."""
+    return is_tried_apart(task) and now - task.ready_at > _MAX_WAIT_SECONDS
+
+
+def may_join_any_group(task: Task, now: float) -> bool:
+    """Return whether a suspect has waited so long that it joins any group."""
+    return has_waited_for_trial(task, now) and not _is_tried_alone(task)
+
+
+def _is_tried_alone(task: Task) -> bool:
+    return len(task.crashed_on) >= _MIN_CRASHES_ALONE
+
+
 def _limit_group(task: Task) -> int:
     """Return how many suspects may be tried together.
 
-    After a crash each member is tried alone. With one guilty task among n suspects,
-    groups of the square root of n need the fewest trials.
+    With one guilty task among n suspects of its first crash, groups of n^(2/3) and then
+    of n^(1/3), the square root of the group before, need the fewest trials.
     """
-    return max(_MIN_GROUP, math.isqrt(task.suspects))
+    if len(task.crashed_on) == 1:
+        return max(_MIN_GROUP, math.ceil(task.suspects ** (2 / 3)))
+    return math.isqrt(task.suspects) if task.suspects > _MIN_GROUP else 1
 
 
-def _awaits_order(task: Task) -> bool:
+def awaits_order(task: Task) -> bool:
     """Return whether a task is being placed, or its order has not been sent."""
     return task.awaits_order or task.state is TaskState.WAITING
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/unplaceable.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/unplaceable.py
@@ -5,14 +5,16 @@
 from pollenkeel_jobs.core.free_room import FreeRoom
 from pollenkeel_jobs.core.model import Job, Task
 from pollenkeel_jobs.core.placement import SPREAD_LIMIT, Placement
-from pollenkeel_jobs.core.trials import is_tried_apart
+from pollenkeel_jobs.core.trials import has_waited_for_trial, is_tried_apart
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_jobs.core.waiting import DemandKind
 
 #: Job, occurrence and number of a step.
 StepKey = tuple[Job, int, int]
-#: Kind of demand, crashes, step if it matters, and whether the task has waited long.
-_SuspectKey = tuple[DemandKind, frozenset[str], StepKey | None, bool]
+#: Number of crashes, and whether the suspect has waited for long.
+_TrialKey = tuple[int, bool]
+#: Kind of demand, step if it matters, and whether the task has waited long.
+_SuspectKey = tuple[DemandKind, _TrialKey, StepKey | None, bool]
 
 
 class Unplaceable:
@@ -38,7 +40,7 @@
         self._free_room = FreeRoom(vms)
         self._kinds_not_waited_long: set[DemandKind] = set()
         self._steps: set[StepKey] = set()
-        self._crashes: set[frozenset[str]] = set()
+        self._trials: set[_TrialKey] = set()
         self._suspects: set[_SuspectKey] = set()
 
     def contains(self, kind: DemandKind, task: Task) -> bool:
@@ -48,7 +50,7 @@
         """
         if is_tried_apart(task):
             return (
-                frozenset(task.crashed_on) in self._crashes
+                self._make_trial_key(task) in self._trials
                 or self._make_suspect_key(kind, task) in self._suspects
             )
         return (
@@ -66,14 +68,19 @@
         has_obstacle_of_its_own = kind.advised or step.spread_limit
         return (
             kind,
-            frozenset(task.crashed_on),
+            self._make_trial_key(task),
             get_step(task) if has_obstacle_of_its_own else None,
             self._placement.has_waited_long(task),
         )
 
-    def add_crashes(self, task: Task) -> None:
-        """Add all suspects of the same crashes, as no more may be tried now."""
-        self._crashes.add(frozenset(task.crashed_on))
+    def _make_trial_key(self, task: Task) -> _TrialKey:
+        """Return what suspects have in common of which all or none may be tried."""
+        now = self._placement.now
+        return len(task.crashed_on), has_waited_for_trial(task, now)
+
+    def add_untried(self, task: Task) -> None:
+        """Add all suspects that may not be tried now for the same reason as a task."""
+        self._trials.add(self._make_trial_key(task))
 
     def rules_out(self, kind: DemandKind) -> bool:
         """Return whether a kind fits on no VM, without a look at each VM."""
--- a/packages/pollenkeel-jobs/tests/core/test_crash_suspects.py
+++ b/packages/pollenkeel-jobs/tests/core/test_crash_suspects.py
@@ -9,6 +9,8 @@
 
 #: Starts of a task that crashes each worker, as promised to the operators.
 MAX_STARTS = 5
+#: Seconds for which a suspect of up to two crashes waits where there is room (LOST).
+MAX_WAIT = 3.0
 SEEDS = range(8)
 
 
@@ -43,12 +45,13 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_jobs_beside_killed_workers_are_done(clock, seed):
-    """Guards against jobs that fail as workers were killed beside them (LOST)."""
+    """Guards against jobs that fail, or wait, as workers were killed beside them."""
     play = RandomKills(clock, seed)
     play_random_kills(play)
     settle(play, 6.0)
     assert play.suspected
     assert play.find_jobs(JobStatus.FAILED) == set()
+    assert play.open_jobs == set()
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -58,7 +61,8 @@
     play = RandomKills(clock, seed, guilty=guilty)
     play_random_kills(play, 30.0)
     settle(play, 20.0)
-    assert play.find_jobs(JobStatus.FAILED) <= {"j20", "j90", "j91", "j160"}
+    assert play.find_jobs(JobStatus.FAILED) == {"j20", "j90", "j91", "j160"}
+    assert play.open_jobs == play.find_jobs(JobStatus.FAILED)
     assert max(play.starts_by_guilty.values()) <= MAX_STARTS
 
 
@@ -83,3 +87,35 @@
     for _ in range(3):
         crash_alone(site)
     assert site.scheduler.find_status("j1") is JobStatus.RUNNING
+
+
+def play_crashes(clock, tasks, crashes, vms=4):
+    """Return a play in which a worker is killed each time all tasks have started."""
+    play = RandomKills(clock, 0, vms)
+    play.add_job("j1", tasks, 600.0, cpu=10)
+    for _ in range(crashes):
+        play.step()
+        play.step()
+        for vm in play.site.vms:
+            if vm.running:
+                play.kill(vm, seconds=0.1)
+    return play
+
+
+@pytest.mark.parametrize("vms", [1, 2, 4])
+@pytest.mark.parametrize("tasks", [25, 250, 1000])
+def test_wait_of_suspects_does_not_grow_with_their_number(clock, tasks, vms):
+    """Guards against innocent tasks that wait to be tried in small groups."""
+    play = play_crashes(clock, tasks, 1, vms)
+    settle(play, 5.0)
+    assert len(play.site.running) == tasks
+    assert max(play.longest_wait_by_crashes.values()) <= MAX_WAIT
+
+
+@pytest.mark.parametrize("tasks", [25, 250])
+def test_wait_of_suspects_of_two_crashes_is_bounded(clock, tasks):
+    """Guards against 25 suspects of two crashes that were tried one by one."""
+    play = play_crashes(clock, tasks, 2)
+    settle(play, 5.0)
+    assert len(play.site.running) == tasks
+    assert max(play.longest_wait_by_crashes.values()) <= MAX_WAIT
--- a/packages/pollenkeel-jobs/tests/core/test_waiting.py
+++ b/packages/pollenkeel-jobs/tests/core/test_waiting.py
@@ -11,10 +11,11 @@
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
 from pollenkeel_jobs.core.model import Demand, StepSpec
-from pollenkeel_jobs.core.placement import LeastLoaded
+from pollenkeel_jobs.core.placement import LABEL, SERVICE, LeastLoaded
 from pollenkeel_jobs.core.placement_log import WaitLog
 from pollenkeel_jobs.core.ready_queue import ReadyQueue
 from pollenkeel_jobs.core.reservations import Reservations
+from pollenkeel_jobs.core.trials import is_tried_apart, may_join_any_group
 from pollenkeel_jobs.core.vms import Vm
 
 #: More steps than the queue ever looked at in one pass.
@@ -60,13 +61,11 @@
         """Return the placements if each waiting task is tried, in order."""
         now = self.placement.now = self.clock.now()
         placements = []
+        others = []
         for task in sorted(self.jobs.ready, key=lambda task: order(task, now)):
             if task not in self.jobs.ready:
                 continue
-            on_trial = [vm for vm in self.vms if vm.trial]
-            may_begin = len(on_trial) < max(1.0, 0.25 * len(self.vms))
-            may_join = any(vm.trial.admits(task) for vm in on_trial)
-            if task.crashed_on and not may_begin and not may_join:
+            if task.crashed_on and not self.may_try(task, others):
                 continue
             chosen = {}
             if task.step.gang:
@@ -80,13 +79,27 @@
             for member, vm in chosen.items():
                 self.jobs.ready.discard(member)
                 placements.append((member.task_id, vm.name))
+            if not chosen and not task.crashed_on:
+                others.append(task)
         return placements
 
+    def may_try(self, task, others):
+        """Return whether a suspect may be tried if ``others`` have found no VM."""
+        on_trial = [vm for vm in self.vms if vm.trial]
+        others_wait = any(
+            self.placement.find_obstacle(other, vm) not in (SERVICE, LABEL)
+            for other in others
+            for vm in self.vms
+        )
+        limit = max(1.0, 0.25 * len(self.vms)) if others_wait else len(self.vms)
+        may_join = any(vm.trial.admits(task, self.placement.now) for vm in on_trial)
+        return len(on_trial) < limit or may_join
+
 
 def order(task, now):
     job = task.job
     late = now > job.objective_at
-    suspect = bool(task.crashed_on) and not task.step.gang
+    suspect = is_tried_apart(task) and not may_join_any_group(task, now)
     return (job.spec.queue.priority, suspect, late, job.objective_at, task.task_id)
 
 
@@ -136,6 +149,9 @@
     for task in queue.jobs.ready:
         if rng.random() < 0.1:
             task.crashed_on.add("vm-1/w~0")
+            if seed % 2:
+                task.crashed_on |= {f"vm-3/w~{n}" for n in range(rng.randrange(4))}
+                task.ready_at = clock.now() - rng.uniform(0.0, 4.0)
         if rng.random() < 0.1:
             task.failed_on.add("vm-2/w~1")
     return queue
--- a/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
@@ -353,7 +353,7 @@
         holder.crash(*(RunKey(run.task_id, run.run) for run in holder.running))
         other.draining = False
         replace_lost_runs(site)
-    assert len(site.running) == 1
+    assert [len(vm.running) for vm in site.vms] == [1, 1]
 
 
 def test_worker_that_nothing_listens_for_gets_no_starts(clock):
