--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
@@ -110,6 +110,7 @@
         sorted(task.crashed_on),
         task.acquitted_through,
         sorted(task.unheard_runs),
+        sorted(task.crashed_at_once),
     ]
     while fields and not fields[-1]:
         fields.pop()
@@ -121,6 +122,7 @@
     crashed_on: Iterable[object] = (),
     acquitted_through: int = 0,
     unheard_runs: Iterable[int] = (),
+    crashed_at_once: Iterable[object] = (),
 ) -> None:
     _check_count("acquitted_through", acquitted_through, 0)
     for run in unheard_runs:
@@ -128,6 +130,7 @@
     task.crashed_on = {_check_text("crashed worker", w) for w in crashed_on}
     task.acquitted_through = acquitted_through
     task.unheard_runs = set(unheard_runs)
+    task.crashed_at_once = {_check_text("crashed worker", w) for w in crashed_at_once}
 
 
 def _check_text(name: str, value: object) -> str:
