Keep a job whose record cannot be read from beginning anew

What callers would see: work that had run is run again, or a job is shown as unknown to the leader and waits until somebody reads the log.

Cause: a leader left out a job whose row, progress row or page it could not decode. It then did not know the id, so that the row of the job, received once more, was taken for a new job and began from nothing. The change feed repeats rows, a feed whose history is gone returns the whole table, and an entry notifies the leader of a row that it may have written before.

Change: the leader keeps the ids of such jobs. It adds no job with one of these ids, answers a query with code 6011, and stops their runs as before. Entries store a cancellation of such a job, and no longer show it as queued when only its job row is unreadable. GET answers 500 with code 6011 in place of 503 with 9000, as a retry within a second does not help.

Ruled out: one bad row stops the others. That held before (test_odd_rows.py).

Evidence: on the code before, a job with a progress row of a later version had no waiting task after the load, and two after its row was applied again.

Remains: ends of such a job that a worker lists meanwhile are acknowledged, and only logged. A task that had ended as done runs again after a repair unless the repaired row says so.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
@@ -28,12 +28,17 @@
     PROGRESS,
     get_intake_partition,
 )
-from pollenkeel_jobs.core.records import RecordError, decode_state, encode_job
+from pollenkeel_jobs.core.records import (
+    RecordError,
+    decode_job,
+    decode_state,
+    encode_job,
+)
 from pollenkeel_jobs.core.tables import (
     TableService,
 )
 from pollenkeel_kernel.core.clock import Clock
-from pollenkeel_kernel.core.codes import Code
+from pollenkeel_kernel.core.codes import Code, find_code
 from pollenkeel_kernel.core.logs import log_change
 from pollenkeel_kernel.core.refusal import Refusal
 
@@ -137,11 +142,16 @@
         return Ok(None)
 
     def cancel(self, job_id: str, deadline: float) -> Result[bool, Refusal]:
-        """Store a cancellation; the result is False if there is no such job."""
+        """Store a cancellation; the result is False if there is no such job.
+
+        That of a job whose record cannot be read is stored as well. It is in force once
+        the record has been repaired; until then the job does not run.
+        """
         status = self.find_status(job_id)
         if isinstance(status, Err):
-            return status
-        if status.ok_value is None:
+            if status.err_value.code is not Code.JOB_UNREADABLE:
+                return status
+        elif status.ok_value is None:
             return Ok(False)
         result = self._writer.write(RelayedRow(CANCELS, job_id, b"1"), deadline)
         if isinstance(result, Err):
@@ -163,6 +173,8 @@
         )
         if isinstance(reply, JobQueryReply) and reply.status:
             return Ok(JobState(JobStatus(reply.status), reply.failure_code))
+        if isinstance(reply, JobQueryReply) and reply.failure_code:
+            return Err(Refusal(find_code(reply.failure_code), job_id))
         return self._read_state(job_id)
 
     def _read_state(self, job_id: str) -> Result[JobState | None, Refusal]:
@@ -177,12 +189,13 @@
             row = found.ok_value
             if row is None or row.value is None:
                 continue
-            if table == JOBS:
-                return Ok(JobState(JobStatus.QUEUED))
             try:
-                return Ok(decode_state(row.value))
+                if table == PROGRESS:
+                    return Ok(decode_state(row.value))
+                decode_job(row.value)
             except RecordError as error:
-                return Err(Refusal(Code.INTERNAL, str(error)))
+                return Err(Refusal(Code.JOB_UNREADABLE, str(error)))
+            return Ok(JobState(JobStatus.QUEUED))
         return Ok(None)
 
     def count_waiting(self, queue_name: str) -> Result[int, Refusal]:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
@@ -17,6 +17,7 @@
     parse_task_id,
 )
 from pollenkeel_jobs.core.records import RecordError, apply_progress, decode_job
+from pollenkeel_jobs.core.unreadable import UnreadableJobs
 from pollenkeel_jobs.core.waiting import WaitingTasks
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.logs import log_change
@@ -49,6 +50,8 @@
         Tasks that wait for a VM, in the order in which they became ready.
     dirty : dict of Job to None
         Jobs whose progress has changed since it was last written.
+    unreadable : UnreadableJobs
+        Jobs that are left out because their record cannot be read.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -61,6 +64,7 @@
         self._ended_gangs: deque[tuple[float, Job, int]] = deque()
         self.ready = WaitingTasks()
         self.dirty: dict[Job, None] = {}
+        self.unreadable = UnreadableJobs()
 
     def load(self, rows: Iterable[tuple[bytes, bytes | None]]) -> Iterator[Task]:
         """Load recorded jobs; yield the tasks that are recorded as placed.
@@ -85,8 +89,11 @@
                 yield from (t for t in job.tasks() if t.state is TaskState.PLACED)
 
     def add(self, spec: JobSpec) -> None:
-        """Add a newly stored job; does nothing if the job is known already."""
-        if spec.job_id in self._jobs_by_id:
+        """Add a newly stored job; does nothing if the job is known already.
+
+        An unreadable job may have run, so it must not begin anew.
+        """
+        if spec.job_id in self._jobs_by_id or spec.job_id in self.unreadable:
             return
         log_change(logger, "job taken", job=spec.job_id, queue=spec.queue.name)
         self._insert(self._make_job(spec))
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -30,7 +30,7 @@
     VmOrdersReply,
     VmReport,
 )
-from pollenkeel_jobs.core.metrics import COMMIT_SECONDS
+from pollenkeel_jobs.core.metrics import COMMIT_SECONDS, UNREADABLE_JOBS
 from pollenkeel_jobs.core.names import (
     CANCELS,
     HARM,
@@ -54,8 +54,10 @@
     TableService,
     Transaction,
 )
+from pollenkeel_jobs.core.unreadable import can_load
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.clock import Clock
+from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.guard import run_step
 from pollenkeel_kernel.core.logs import log_change
 from pollenkeel_kernel.core.messages import Message
@@ -87,6 +89,8 @@
 _LOAD_THREADS = 4
 #: Seconds between checks for steps that wait for advice.
 _ADVICE_POLL_INTERVAL = 0.02
+#: Seconds between checks whether unreadable jobs have been repaired.
+_REPAIR_CHECK_INTERVAL = 10.0
 #: Seconds between deletions of old jobs.
 _CLEANUP_INTERVAL = 10.0
 
@@ -220,6 +224,7 @@
         self._member_values_by_name: dict[str, bytes] = {}
         self._advice = advice
         self._loaded = False
+        self._repaired = threading.Event()
         self._next_cleanup_at = clock.now() + _CLEANUP_INTERVAL
 
     def run(self, stop: threading.Event) -> None:
@@ -239,13 +244,18 @@
             threading.Thread(
                 target=self._fetch_advice, name="advice", daemon=True
             ).start()
+            threading.Thread(
+                target=self._watch_unreadable_jobs, name="unreadable", daemon=True
+            ).start()
             while not stop.is_set():
+                self._end_if_repaired()
                 self._run_pass()
                 self._delete_old_jobs()
         except LeadershipLost as error:
             log_change(logger, "leadership lost", cause=str(error))
         finally:
             self.over.set()
+            UNREADABLE_JOBS.set(0)
             self.scheduler.wake.set()
             for sender in self._senders_by_vm.values():
                 sender.wake()
@@ -261,7 +271,8 @@
             self._harm.load(row.value or b"")
         progress_by_id = join_progress_rows(progress.rows)
         self.scheduler.load(
-            (row.value or b"", progress_by_id.get(row.key)) for row in jobs.rows
+            ((row.value or b"", progress_by_id.get(row.key)) for row in jobs.rows),
+            [row.key for row in jobs.rows],
         )
         for row in cancels.rows:
             self.scheduler.cancel_job(row.key)
@@ -322,6 +333,26 @@
             if sender is not None:
                 sender.add(work)
 
+    def _watch_unreadable_jobs(self) -> None:
+        """Notice that an unreadable job has been repaired."""
+        while not self.over.wait(_REPAIR_CHECK_INTERVAL):
+            if self._is_any_repaired():
+                self._repaired.set()
+
+    def _is_any_repaired(self) -> bool:
+        job_ids = self.scheduler.list_unreadable_jobs()
+        return any(can_load(self._tables, job_id) for job_id in job_ids)
+
+    def _end_if_repaired(self) -> None:
+        """End the term once an unreadable job can be loaded.
+
+        Its runs may still be in progress under leases of this term; the next one loads
+        it as a new leader loads all jobs.
+        """
+        if self._repaired.is_set() and self.leadership.leads:
+            self.leadership.resign()
+            raise LeadershipLost("the record of a job can be read again")
+
     def _delete_old_jobs(self) -> None:
         """Delete the rows of jobs that ended long ago.
 
@@ -482,6 +513,15 @@
         result = self._tables.transact(transaction)
         return result.err_value.kind.name if isinstance(result, Err) else ""
 
+    def _describe_job(self, job_id: str) -> JobQueryReply:
+        now = self.clock.now()
+        state = self.scheduler.find_state(job_id) if self._loaded else None
+        if state is not None:
+            return JobQueryReply(self.name, now, state.status.value, state.failure_code)
+        if job_id in self.scheduler.list_unreadable_jobs():
+            return JobQueryReply(self.name, now, "", Code.JOB_UNREADABLE.value)
+        return JobQueryReply(self.name, now, "")
+
     def handle(self, message: Message) -> Message | None:
         """Return the reply to a message, or None if it is not one for the leader."""
         now = self.clock.now()
@@ -494,10 +534,7 @@
         if isinstance(message, RelayWrite):
             return RelayWriteReply(self.name, now, self._write_relayed(message))
         if isinstance(message, JobQuery):
-            state = self.scheduler.find_state(message.job_id) if self._loaded else None
-            if state is None:
-                return JobQueryReply(self.name, now, "")
-            return JobQueryReply(self.name, now, state.status.value, state.failure_code)
+            return self._describe_job(message.job_id)
         if isinstance(message, QueueQuery):
             waiting = (
                 self.scheduler.count_waiting(message.queue) if self._loaded else -1
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -355,10 +355,10 @@
 
 @attrs.frozen
 class JobQueryReply(Message):
-    """Recorded status of a job; empty if it is unknown or not loaded yet.
+    """Recorded status of a job; empty if it is unknown, unreadable or not loaded yet.
 
     ``failure_code`` is the result code if the scheduler stopped the job because of an
-    error, else 0.
+    error, or if the job's record cannot be read; else 0.
     """
 
     status: str
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
@@ -52,6 +52,11 @@
     "Longest time for which a job has had a waiting task and no run.",
     registry=REGISTRY,
 )
+UNREADABLE_JOBS = Gauge(
+    "pollenkeel_unreadable_jobs",
+    "Jobs that the leader leaves out because their record cannot be read.",
+    registry=REGISTRY,
+)
 COMMIT_SECONDS = Histogram(
     "pollenkeel_commit_seconds",
     "Duration of the leader's transactions, with their retries.",
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -200,6 +200,7 @@
         self._control.stops.forget(ended.task_id, ended.run)
         task = self._jobs.find_task(ended.task_id)
         if task is None:
+            self._log_end_of_unreadable_job(vm, ended)
             return
         holder = vm
         if task.run != ended.run:
@@ -247,6 +248,20 @@
         else:
             self._control.requeue(task, ended.how)
 
+    def _log_end_of_unreadable_job(self, vm: Vm, ended: EndedTask) -> None:
+        """Log an end that can't be recorded; whoever repairs the job needs it."""
+        parsed = parse_task_id(ended.task_id)
+        if parsed and parsed[0] in self._jobs.unreadable:
+            logger.error(
+                "end of a run of an unreadable job not recorded",
+                extra={
+                    "task": ended.task_id,
+                    "run": ended.run,
+                    "vm": vm.name,
+                    "how": ended.how,
+                },
+            )
+
     def _process_late_failure(self, vm: Vm, task: Task, ended: EndedTask) -> None:
         """Count a failed run that was given up, although a later one was placed."""
         task.unheard_runs.remove(ended.run)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any
 
 import logbook
@@ -132,17 +132,26 @@
 
     # Jobs.
 
-    def load(self, rows: Iterable[tuple[bytes, bytes | None]]) -> None:
+    def load(
+        self,
+        rows: Iterable[tuple[bytes, bytes | None]],
+        job_ids: Collection[str] = (),
+    ) -> None:
         """Load the jobs that earlier leaders recorded.
 
         Parameters
         ----------
         rows : iterable of (bytes, bytes or None)
             Row of each job and of its progress, if there is one.
+        job_ids : collection of str
+            Ids of these jobs. Those that cannot be loaded count as unreadable.
         """
         with self._lock, paused_collection():
             for task in self._jobs.load(rows):
                 self._fleet.add_orphan(task)
+            self._jobs.unreadable.add_all(
+                job_id for job_id in job_ids if self._jobs.find(job_id) is None
+            )
 
     def add_job(self, spec: JobSpec) -> None:
         """Add a newly stored job; does nothing if the job is known already."""
@@ -160,6 +169,9 @@
 
     def _cancel(self, job_id: str) -> None:
         job = self._jobs.find(job_id)
+        if job_id in self._jobs.unreadable:
+            # The next leader that can read the job finds the stored cancellation.
+            return
         if job is None:
             self._jobs.record_early_cancellation(job_id)
         elif not job.cancelled:
@@ -182,6 +194,11 @@
             code = job.failure_code if job.recorded_status.final else 0
             return JobState(job.recorded_status, code)
 
+    def list_unreadable_jobs(self) -> list[str]:
+        """Return the ids of the jobs whose record cannot be read."""
+        with self._lock:
+            return self._jobs.unreadable.list_ids()
+
     def count_waiting(self, queue: str) -> int:
         """Return the number of unfinished jobs of a queue without a started task."""
         with self._lock:
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/codes.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/codes.py
@@ -79,6 +79,7 @@
     WAITING_FOR_CAPACITY = 6008
     OVER_QUOTA = 6009
     PROGRESS_NOT_RECORDED = 6010
+    JOB_UNREADABLE = 6011
 
     INTERNAL = 9000
 
@@ -152,6 +153,7 @@
     Code.WAITING_FOR_CAPACITY: "no VM has enough free capacity now",
     Code.OVER_QUOTA: "the team has used its quota",
     Code.PROGRESS_NOT_RECORDED: "the progress of the job does not fit into the store",
+    Code.JOB_UNREADABLE: "this release cannot read the record of the job",
     Code.INTERNAL: "unexpected error; see the log of the process",
 }
 
