Test with real processes that a repaired job goes on, and does not begin anew before

The leader is killed with a damaged progress row, the feeds then lose their history, and the row is repaired. The job has an error until then, nothing of it runs, and its tasks go on with their second run after the repair.

--- a/tests/proofs/test_platform_jobs.py
+++ b/tests/proofs/test_platform_jobs.py
@@ -8,7 +8,11 @@
 
 import pytest
 
+from pollenkeel_jobs.core.names import LEADER_PARTITION, PROGRESS
+from pollenkeel_jobs.core.tables import RowWrite, Transaction
+from pollenkeel_platform.store import PlatformTables
 from pollenkeel_standins.job_site import JobSite
+from pollenkeel_standins.processes import wait_until
 
 STEPS = [
     {"Count": 4, "Cpu": 800, "MemMb": 200, "EstimateMs": 500},
@@ -150,3 +154,39 @@
         site.wait_for_state("job", "done")
         site.set_store_faults(down=store)
         assert site.processes_by_name[name].stop(GRACE_SECONDS) == 0
+
+
+def write_progress(site, job_id, value):
+    """Overwrite a job's progress row, as damage or a repair by hand would."""
+    store = site.processes_by_name["store"].url.removeprefix("http://")
+    write = RowWrite(PROGRESS, job_id, value)
+    tables = PlatformTables(store)
+    assert tables.transact(Transaction(LEADER_PARTITION, (), (write,))).is_ok()
+
+
+def test_job_goes_on_once_its_record_is_repaired(tmp_path):
+    """Guards against an unreadable job that runs anew, or waits after its repair."""
+    with JobSite(tmp_path) as site:
+        site.submit("job", STEPS[:1], "run 30")
+        site.wait_for_state("job", "running")
+        store = site.processes_by_name["store"].url.removeprefix("http://")
+        tables = PlatformTables(store)
+        recorded = tables.read_row(LEADER_PARTITION, PROGRESS, "job").unwrap().value
+        write_progress(site, "job", b"\xc1")
+        kill_leader(site)
+        wait_until(lambda: site.call("GET", "job", 0).status == 500, 10.0, "error")
+        site.set_store_faults(lost_feeds=4)
+        site.submit("other", STEPS, "run 0.2")
+        site.wait_for_state("other", "done")
+        runs = [run for run in site.read_runs() if run["task"].startswith("job.")]
+        assert {run["run"] for run in runs} == {1}
+        write_progress(site, "job", recorded)
+        site.wait_for_state("job", "running", 25.0)
+        wait_until(
+            lambda: (
+                {r["run"] for r in site.read_runs() if r["how"] == "running"} == {2}
+            ),
+            10.0,
+            "the tasks run again",
+        )
+        check_runs(site.read_runs())
