Keep an old job from running again while its rows could not be deleted

What callers would see: a job that ended over ten minutes ago runs again.

Cause: the leader forgets an ended job after its retention and then deletes its rows once. If the store refuses or does not answer, the row of the job stays for good. When the change feed has lost its history the whole table is read again, and the forgotten job is taken for a new one. The rows also stay behind after a deletion whose reply was lost: the progress was never deleted.

Change: the leader remembers the time of acceptance of a forgotten job until its rows are deleted, adds no job with this id and time, and tries the deletion again every 10 s. After a failure the deletion is conditional on the row that was read, as a client may have submitted another job with the same id meanwhile; that one is kept.

Evidence: test_old_job_does_not_run_again_while_its_row_remains and test_rows_of_an_old_job_are_deleted_after_a_failure failed before, each for a write that was refused, lost or dropped. test_job_with_the_id_of_an_old_one_is_not_deleted passed before as well; it guards the second try.

Remains: a leader that is lost between the deletion of a job's row and that of its progress leaves the progress. A later job with the same id then counts as ended if the leader changes before the job's first progress is written.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
@@ -60,6 +60,8 @@
         self._ended_at_by_id: dict[str, float] = {}
         self._scheduled_jobs: dict[Job, None] = {}
         self._cancelled_at_by_id: dict[str, float] = {}
+        # Time of acceptance of forgotten jobs whose rows may remain.
+        self._accepted_at_by_forgotten_id: dict[str, float] = {}
         # End, job and number of the occurrences that are kept because of a gang.
         self._ended_gangs: deque[tuple[float, Job, int]] = deque()
         self.ready = WaitingTasks()
@@ -95,6 +97,8 @@
         """
         if spec.job_id in self._jobs_by_id or spec.job_id in self.unreadable:
             return
+        if self.is_forgotten(spec):
+            return
         log_change(logger, "job taken", job=spec.job_id, queue=spec.queue.name)
         self._insert(self._make_job(spec))
 
@@ -273,16 +277,32 @@
             JOB_OBJECTIVE_RATIO.labels(queue).observe(seconds / objective)
 
     def forget_old(self) -> list[str]:
-        """Drop the jobs whose retention period is over and return their ids."""
+        """Drop the jobs whose retention period is over.
+
+        Returns
+        -------
+        list of str
+            Ids of the dropped jobs, now or before, whose rows are to be deleted.
+        """
         limit = self._clock.now() - _RETENTION_SECONDS
         old = [job_id for job_id, at in self._ended_at_by_id.items() if at < limit]
         for job_id in old:
             del self._ended_at_by_id[job_id]
-            del self._jobs_by_id[job_id]
+            spec = self._jobs_by_id.pop(job_id).spec
+            self._accepted_at_by_forgotten_id[job_id] = spec.accepted_at
         for job_id, at in list(self._cancelled_at_by_id.items()):
             if at < limit:
                 del self._cancelled_at_by_id[job_id]
-        return old
+        return list(self._accepted_at_by_forgotten_id)
+
+    def is_forgotten(self, spec: JobSpec) -> bool:
+        """Return whether a job was dropped, and not a later one with the same id."""
+        accepted_at = self._accepted_at_by_forgotten_id.get(spec.job_id)
+        return accepted_at == spec.accepted_at
+
+    def confirm_deletion(self, job_id: str) -> None:
+        """Record that the rows of a dropped job are deleted."""
+        self._accepted_at_by_forgotten_id.pop(job_id, None)
 
 
 def list_step_tasks(task: Task) -> list[Task]:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -225,6 +225,7 @@
         self._advice = advice
         self._loaded = False
         self._repaired = threading.Event()
+        self._failed_deletions: set[str] = set()
         self._next_cleanup_at = clock.now() + _CLEANUP_INTERVAL
 
     def run(self, stop: threading.Event) -> None:
@@ -363,17 +364,42 @@
             return
         self._next_cleanup_at = now + _CLEANUP_INTERVAL
         for job_id in self.scheduler.forget_old_jobs():
-            rows = (RowWrite(JOBS, job_id, None), RowWrite(CANCELS, job_id, None))
-            partition = get_intake_partition(job_id)
-            removed = self._tables.transact(Transaction(partition, (), rows))
-            if isinstance(removed, Err):
-                detail = removed.err_value.detail
-                logger.warning(
-                    "rows of old job not deleted",
-                    extra={"job": job_id, "cause": detail},
-                )
-                continue
-            self.leadership.commit((RowWrite(PROGRESS, job_id, None),))
+            if self._delete_job(job_id):
+                self._failed_deletions.discard(job_id)
+                self.scheduler.confirm_deletion(job_id)
+            else:
+                self._failed_deletions.add(job_id)
+                logger.warning("rows of old job not deleted", extra={"job": job_id})
+
+    def _delete_job(self, job_id: str) -> bool:
+        """Delete the rows of an old job; return False if that has to be tried again.
+
+        After a failure the rows may be gone, and a client may have submitted another
+        job with this id, whose rows must stay.
+        """
+        partition = get_intake_partition(job_id)
+        conditions: tuple[Condition, ...] = ()
+        if job_id in self._failed_deletions:
+            found = self._tables.read_row(partition, JOBS, job_id)
+            if isinstance(found, Err):
+                return False
+            row = found.ok_value
+            if row is not None and row.value and not self._is_old(row.value):
+                return True
+            conditions = (Condition(JOBS, job_id, row.version if row else 0),)
+        rows = (RowWrite(JOBS, job_id, None), RowWrite(CANCELS, job_id, None))
+        removed = self._tables.transact(Transaction(partition, conditions, rows))
+        if isinstance(removed, Err):
+            return False
+        self.leadership.commit((RowWrite(PROGRESS, job_id, None),))
+        return True
+
+    def _is_old(self, row: bytes) -> bool:
+        """Return whether a row is that of a job that was dropped."""
+        try:
+            return self.scheduler.is_forgotten(decode_job(row))
+        except RecordError:
+            return False
 
     def _fetch_advice(self) -> None:
         """Query the advice service for steps that wait for tickets, one at a time."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -205,10 +205,20 @@
             return self._jobs.count_waiting(queue)
 
     def forget_old_jobs(self) -> list[str]:
-        """Drop the jobs whose retention period is over and return their ids."""
+        """Drop old jobs; return the ids of those whose rows are to be deleted."""
         with self._lock:
             return self._jobs.forget_old()
 
+    def is_forgotten(self, spec: JobSpec) -> bool:
+        """Return whether a job was dropped, and not a later one with the same id."""
+        with self._lock:
+            return self._jobs.is_forgotten(spec)
+
+    def confirm_deletion(self, job_id: str) -> None:
+        """Record that the rows of a dropped job are deleted."""
+        with self._lock:
+            self._jobs.confirm_deletion(job_id)
+
     def update_operations(self, operations: Operations, confirmed_at: float) -> None:
         """Apply the operators' settings, such as closed data centres.
 
@@ -230,18 +240,7 @@
                 "epoch": self.epoch,
                 "waiting": [task.task_id for task in self._jobs.ready],
                 "interference": self._interference.describe(),
-                "vms": [
-                    {
-                        "name": vm.name,
-                        "worker": vm.incarnation,
-                        "draining": vm.draining,
-                        "heard_at": vm.heard_at,
-                        "load": round(vm.cpu_load, 3),
-                        "slowness": round(vm.slowness, 2),
-                        "tasks": sorted(vm.tasks_by_id),
-                    }
-                    for vm in self._fleet.vms()
-                ],
+                "vms": [vm.describe() for vm in self._fleet.vms()],
             }
 
     # Advice.
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -4,6 +4,7 @@
 
 from collections import Counter, deque
 from collections.abc import Set
+from typing import Any
 
 import attrs
 
@@ -165,6 +166,18 @@
         """
         return bool(clock) and incarnation == self.incarnation and clock < self.clock
 
+    def describe(self) -> dict[str, Any]:
+        """Return the state that the leader shows of this VM in its state dump."""
+        return {
+            "name": self.name,
+            "worker": self.incarnation,
+            "draining": self.draining,
+            "heard_at": self.heard_at,
+            "load": round(self.cpu_load, 3),
+            "slowness": round(self.slowness, 2),
+            "tasks": sorted(self.tasks_by_id),
+        }
+
     def has_room_for(self, demand: Demand) -> bool:
         """Return whether a demand fits beside placed tasks and other runs."""
         capacity, reserved, other = (
--- a/packages/pollenkeel-jobs/tests/core/test_leader.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leader.py
@@ -108,6 +108,55 @@
     assert term.scheduler.find_status("good") is not None
 
 
+def end_and_forget(term, tables, clock, fault):
+    """End a job, and forget it after its retention with a fault of the deletion."""
+    write = RowWrite(JOBS, "j1", encode_job(make_job(accepted_at=clock.now())))
+    tables.apply(Transaction(get_intake_partition("j1"), (), (write,)))
+    term._load(threading.Event())
+    term.scheduler.cancel_job("j1")
+    planned = term.scheduler.plan()
+    term.leadership.commit(planned.writes)
+    term.scheduler.confirm(planned)
+    clock.advance(620.0)
+    term.leadership.renew()
+    tables.faults = [fault]
+    term._delete_old_jobs()
+    return write.value
+
+
+@pytest.mark.parametrize("fault", ["refused", "lost", "dropped"])
+def test_old_job_does_not_run_again_while_its_row_remains(term, tables, clock, fault):
+    """Guards against an ended job that begins anew when the table is read again."""
+    row = end_and_forget(term, tables, clock, fault)
+    term.apply_row("j1", row)
+    assert term.scheduler.describe()["waiting"] == []
+
+
+@pytest.mark.parametrize("fault", ["refused", "lost", "dropped"])
+def test_rows_of_an_old_job_are_deleted_after_a_failure(term, tables, clock, fault):
+    """Guards against rows that are left behind by a store that refuses for a while."""
+    end_and_forget(term, tables, clock, fault)
+    clock.advance(10.1)
+    term.leadership.renew()
+    term._delete_old_jobs()
+    assert tables.rows_by_key[get_intake_partition("j1"), JOBS, "j1"].value is None
+    assert tables.rows_by_key[LEADER_PARTITION, PROGRESS, "j1"].value is None
+
+
+def test_job_with_the_id_of_an_old_one_is_not_deleted(term, tables, clock):
+    """Guards against a new job that is lost with the rows of an earlier one (LOST)."""
+    end_and_forget(term, tables, clock, "lost")
+    row = encode_job(make_job(accepted_at=clock.now()))
+    write = RowWrite(JOBS, "j1", row)
+    tables.apply(Transaction(get_intake_partition("j1"), (), (write,)))
+    term.apply_row("j1", row)
+    clock.advance(10.1)
+    term.leadership.renew()
+    term._delete_old_jobs()
+    assert tables.rows_by_key[get_intake_partition("j1"), JOBS, "j1"].value == row
+    assert term.scheduler.describe()["waiting"] == ["j1.0.0.0", "j1.0.0.1"]
+
+
 @pytest.mark.parametrize("fault", ["refused", "lost", "dropped"])
 def test_progress_is_kept_while_the_row_of_its_job_may_remain(
     term, tables, clock, fault
