--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -28,7 +28,7 @@
     RelayWriteReply,
     VmReport,
 )
-from pollenkeel_jobs.core.metrics import COMMIT_SECONDS
+from pollenkeel_jobs.core.metrics import COMMIT_SECONDS, UNREADABLE_JOBS
 from pollenkeel_jobs.core.names import (
     CANCELS,
     INTAKE_PARTITIONS,
@@ -52,8 +52,10 @@
     TableService,
     Transaction,
 )
+from pollenkeel_jobs.core.unreadable import can_load
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.clock import Clock
+from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.guard import run_step
 from pollenkeel_kernel.core.logs import log_change
 from pollenkeel_kernel.core.messages import Message
@@ -78,6 +80,8 @@
 _LOAD_THREADS = 4
 #: Seconds between checks for steps that wait for advice.
 _ADVICE_POLL_INTERVAL = 0.02
+#: Seconds between checks whether unreadable jobs have been repaired.
+_REPAIR_CHECK_INTERVAL = 10.0
 #: Seconds between deletions of old jobs.
 _CLEANUP_INTERVAL = 10.0
 
@@ -127,6 +131,8 @@
         self._member_values_by_name: dict[str, bytes] = {}
         self._advice = advice
         self._loaded = False
+        self._repaired = threading.Event()
+        self._failed_deletions: set[str] = set()
         self._next_cleanup_at = clock.now() + _CLEANUP_INTERVAL
 
     def run(self, stop: threading.Event) -> None:
@@ -146,13 +152,18 @@
             threading.Thread(
                 target=self._fetch_advice, name="advice", daemon=True
             ).start()
+            threading.Thread(
+                target=self._watch_unreadable_jobs, name="unreadable", daemon=True
+            ).start()
             while not stop.is_set():
+                self._end_if_repaired()
                 self._run_pass()
                 self._delete_old_jobs()
         except LeadershipLost as error:
             log_change(logger, "leadership lost", cause=str(error))
         finally:
             self.over.set()
+            UNREADABLE_JOBS.set(0)
             self.scheduler.wake.set()
             for sender in self._senders_by_vm.values():
                 sender.wake()
@@ -168,7 +179,8 @@
             self._interference.load(row.value or b"")
         progress_by_id = join_progress_rows(progress.rows)
         self.scheduler.load(
-            (row.value or b"", progress_by_id.get(row.key)) for row in jobs.rows
+            ((row.value or b"", progress_by_id.get(row.key)) for row in jobs.rows),
+            [row.key for row in jobs.rows],
         )
         for row in cancels.rows:
             self.scheduler.cancel_job(row.key)
@@ -229,6 +241,26 @@
             if sender is not None:
                 sender.add(work)
 
+    def _watch_unreadable_jobs(self) -> None:
+        """Notice that an unreadable job has been repaired."""
+        while not self.over.wait(_REPAIR_CHECK_INTERVAL):
+            if self._is_any_repaired():
+                self._repaired.set()
+
+    def _is_any_repaired(self) -> bool:
+        job_ids = self.scheduler.list_unreadable_jobs()
+        return any(can_load(self._tables, job_id) for job_id in job_ids)
+
+    def _end_if_repaired(self) -> None:
+        """End the term once an unreadable job can be loaded.
+
+        Its runs may still be in progress under leases of this term; the next one loads
+        it as a new leader loads all jobs.
+        """
+        if self._repaired.is_set() and self.leadership.leads:
+            self.leadership.resign()
+            raise LeadershipLost("the record of a job can be read again")
+
     def _delete_old_jobs(self) -> None:
         """Delete the rows of jobs that ended long ago.
 
@@ -239,17 +271,42 @@
             return
         self._next_cleanup_at = now + _CLEANUP_INTERVAL
         for job_id in self.scheduler.forget_old_jobs():
-            rows = (RowWrite(JOBS, job_id, None), RowWrite(CANCELS, job_id, None))
-            partition = get_intake_partition(job_id)
-            removed = self._tables.transact(Transaction(partition, (), rows))
-            if isinstance(removed, Err):
-                detail = removed.err_value.detail
-                logger.warning(
-                    "rows of old job not deleted",
-                    extra={"job": job_id, "cause": detail},
-                )
-                continue
-            self.leadership.commit((RowWrite(PROGRESS, job_id, None),))
+            if self._delete_job(job_id):
+                self._failed_deletions.discard(job_id)
+                self.scheduler.confirm_deletion(job_id)
+            else:
+                self._failed_deletions.add(job_id)
+                logger.warning("rows of old job not deleted", extra={"job": job_id})
+
+    def _delete_job(self, job_id: str) -> bool:
+        """Delete the rows of an old job; return False if that has to be tried again.
+
+        After a failure the rows may be gone, and a client may have submitted another
+        job with this id, whose rows must stay.
+        """
+        partition = get_intake_partition(job_id)
+        conditions: tuple[Condition, ...] = ()
+        if job_id in self._failed_deletions:
+            found = self._tables.read_row(partition, JOBS, job_id)
+            if isinstance(found, Err):
+                return False
+            row = found.ok_value
+            if row is not None and row.value and not self._is_old(row.value):
+                return True
+            conditions = (Condition(JOBS, job_id, row.version if row else 0),)
+        rows = (RowWrite(JOBS, job_id, None), RowWrite(CANCELS, job_id, None))
+        removed = self._tables.transact(Transaction(partition, conditions, rows))
+        if isinstance(removed, Err):
+            return False
+        self.leadership.commit((RowWrite(PROGRESS, job_id, None),))
+        return True
+
+    def _is_old(self, row: bytes) -> bool:
+        """Return whether a row is that of a job that was dropped."""
+        try:
+            return self.scheduler.is_forgotten(decode_job(row))
+        except RecordError:
+            return False
 
     def _fetch_advice(self) -> None:
         """Query the advice service for steps that wait for tickets, one at a time."""
@@ -389,6 +446,15 @@
         result = self._tables.transact(transaction)
         return result.err_value.kind.name if isinstance(result, Err) else ""
 
+    def _describe_job(self, job_id: str) -> JobQueryReply:
+        now = self.clock.now()
+        state = self.scheduler.find_state(job_id) if self._loaded else None
+        if state is not None:
+            return JobQueryReply(self.name, now, state.status.value, state.failure_code)
+        if job_id in self.scheduler.list_unreadable_jobs():
+            return JobQueryReply(self.name, now, "", Code.JOB_UNREADABLE.value)
+        return JobQueryReply(self.name, now, "")
+
     def handle(self, message: Message) -> Message | None:
         """Return the reply to a message, or None if it is not one for the leader."""
         now = self.clock.now()
@@ -401,10 +467,7 @@
         if isinstance(message, RelayWrite):
             return RelayWriteReply(self.name, now, self._write_relayed(message))
         if isinstance(message, JobQuery):
-            state = self.scheduler.find_state(message.job_id) if self._loaded else None
-            if state is None:
-                return JobQueryReply(self.name, now, "")
-            return JobQueryReply(self.name, now, state.status.value, state.failure_code)
+            return self._describe_job(message.job_id)
         if isinstance(message, QueueQuery):
             waiting = (
                 self.scheduler.count_waiting(message.queue) if self._loaded else -1
