Count the end of a lapsed attempt that an agent lists late

Cause: once its owner had ended the attempt as lapsed, the worker's later "done" was only acknowledged, even while the task still waited in the queue. And a returned agent could get a start in the very message whose reply lists the end.

Ruled out: overlapping runs (the attempt had ended on the worker) and a lost start.

Fix: a reported "done" finishes a queued task whose latest attempt it names. It has no effect once the next attempt is recorded, which the log decides by its order. An agent whose attempts have lapsed gets no starts until it has answered with its worker's tasks known; the owner asks at once when it returns. Other late ends are still only acknowledged.

The failure itself was not provoked with real processes.

--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/exchange.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/exchange.py
@@ -108,6 +108,9 @@
 ) -> None:
     task = state.task_with_attempt(reported.task_id, reported.attempt)
     outcome = _OUTCOMES_BY_STATE.get(reported.state)
+    late = state.queued_task_after(reported.task_id, reported.attempt)
+    if late is not None and outcome == rec.DONE:
+        task = late
     if task is None:
         # Not an open attempt: acknowledge it if it has ended, stop it if it still runs.
         key = TaskKey(reported.task_id, reported.attempt)
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/shard.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/shard.py
@@ -165,6 +165,8 @@
         self._answered_epoch_by_agent: dict[str, str] = {}
         #: Agents that did not answer the last exchange.
         self._unanswered_agents: set[str] = set()
+        #: Agents of lapsed attempts that have not listed their worker's tasks since.
+        self._unchecked_agents: set[str] = set()
         services.quota.set(lease.shard, log.state.usage_by_team)
 
     @property
@@ -313,7 +315,9 @@
             keys = state.keys_by_agent.get(agent_id, {})
             starts = self._pop_valid_starts(agent_id, now)
             acks = self._acks_by_agent.pop(agent_id, [])
-            stops = self._stops_by_agent.pop(agent_id, [])
+            stops = []
+            if record.announce.worker_ready or agent_id not in self._unchecked_agents:
+                stops = self._stops_by_agent.pop(agent_id, [])
             # Every incarnation of an agent gets at least one message, because it then
             # rejects messages from earlier owners of the shard.
             has_answered = (
@@ -386,6 +390,8 @@
             if reply.code == Code.STALE_SHARD_EPOCH.value:
                 self.drop(Refusal(Code.NOT_OWNER, reply.detail))
                 return []
+            if not self._stops_by_agent.get(agent_id):
+                self._unchecked_agents.discard(agent_id)
             if reply.code == Code.OK.value:
                 now = self._context.clock.now()
                 bound = now + self._timing.task_lease
@@ -643,6 +649,9 @@
         # The agent of a lapsed attempt may return and still list it, so the attempt is
         # to be stopped instead of acknowledged.
         lapsed = event.outcome == rec.LAPSED
+        if lapsed:
+            self._unchecked_agents.add(agent_id)
+            self._services.wake(agent_id)
         orders = self._stops_by_agent if lapsed else self._acks_by_agent
         orders.setdefault(agent_id, []).append(TaskKey(event.key, event.attempt))
         self._record_decision(event.key, event.outcome, event.code, event.detail, vm)
@@ -750,6 +759,9 @@
             permit = config.permit_until(announce.data_centre)
             if announce.state == "leaving" or not announce.worker_ready:
                 continue
+            # Its first reply may list tasks that were done before their leases lapsed.
+            if announce.sender in self._unchecked_agents:
+                continue
             # Announcements may still arrive from an agent that cannot be reached.
             if self._services.is_silent(announce.sender):
                 continue
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/state.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/state.py
@@ -57,6 +57,13 @@
             return None
         return task
 
+    def queued_task_after(self, key: str, attempt: int) -> rec.Task | None:
+        """Return the queued task whose latest attempt this is, or None."""
+        task = self.tasks_by_key.get(key)
+        if task is None or task.state != rec.QUEUED or task.attempts != attempt:
+            return None
+        return task
+
 
 @singledispatch
 def apply(event: ev.Event, state: ShardState) -> None:
@@ -145,6 +152,12 @@
 def _(event: ev.AttemptEnded, state: ShardState) -> None:
     task = state.task_with_attempt(event.key, event.attempt)
     if task is None:
+        # The attempt was ended as lapsed, but the worker had finished the task. It is
+        # done as long as no later attempt has started.
+        late = state.queued_task_after(event.key, event.attempt)
+        if late is not None and event.outcome == rec.DONE:
+            late.code, late.detail = event.code, event.detail
+            _end_task(state, late, rec.DONE)
         return
     _release_attempt(state, task)
     task.code = event.code
--- a/packages/pollenkeel-entry/tests/batch/test_exchange.py
+++ b/packages/pollenkeel-entry/tests/batch/test_exchange.py
@@ -81,3 +81,37 @@
     assert lapsed(901.0, {}, {}, 900.0)
     assert not lapsed(40.4, {}, {"m": 40.0}, 900.0)
     assert lapsed(40.6, {}, {"m": 40.0}, 900.0)
+
+
+DONE = TaskState("j:t", 1, "done")
+LAPSED = ev.AttemptEnded("j:t", 1, rec.LAPSED, Code.LEASE_LAPSED.value)
+
+
+def test_end_of_a_lapsed_attempt_counts_while_the_task_is_queued(state):
+    """Guards against a task that runs again although its worker had finished it."""
+    apply(LAPSED, state)
+    (event,) = evaluate(state, 22.0, DONE).events
+    for _ in range(2):
+        apply(event, state)
+    assert (state.tasks_by_key["j:t"].state, state.queued) == (rec.DONE, {})
+    assert state.open_jobs() == 0
+    assert evaluate(state, 23.0, DONE).acknowledged == [TaskKey("j:t", 1)]
+
+
+@pytest.mark.parametrize("reported", ["failed", "evicted", "stopped"])
+def test_other_ends_of_a_lapsed_attempt_are_only_acknowledged(state, reported):
+    """Guards against a failure or checkpoint that counts for the next attempt."""
+    apply(LAPSED, state)
+    effects = evaluate(state, 22.0, TaskState("j:t", 1, reported))
+    assert (effects.events, effects.acknowledged) == ([], [TaskKey("j:t", 1)])
+
+
+def test_end_of_a_lapsed_attempt_does_not_count_after_the_next_start(state):
+    """Guards against a task that is done while its next attempt runs."""
+    apply(LAPSED, state)
+    (event,) = evaluate(state, 22.0, DONE).events
+    apply(ev.AttemptStarted("j:t", 2, "m", "vm", "dc", 1, 30.0, 40.0), state)
+    apply(event, state)
+    assert state.tasks_by_key["j:t"].state == rec.STARTING
+    effects = evaluate(state, 23.0, DONE)
+    assert (effects.events, effects.acknowledged) == ([], [TaskKey("j:t", 1)])
--- a/packages/pollenkeel-entry/tests/batch/test_shard.py
+++ b/packages/pollenkeel-entry/tests/batch/test_shard.py
@@ -56,6 +56,7 @@
         self.clock, self.size = clock, Resources(float(cores), 1000.0, 0)
         self.tasks, self.ran, self.refusals = {}, [], []
         self.refused = self.lost = 0
+        self.epoch, self.ready = "e1", True
         self.announced = self.announce()
 
     def free(self):
@@ -67,7 +68,7 @@
         self.announced = Announce(
             "m",
             now,
-            "e1",
+            self.epoch,
             "m",
             "d0",
             "r",
@@ -78,7 +79,7 @@
             self.size,
             free,
             {},
-            True,
+            self.ready,
         )
         return self.announced
 
@@ -107,7 +108,15 @@
             self.lost -= 1
             return Err(Refusal(Code.NO_REPLY, "lost"))
         tasks = [TaskState(t, n, s[0]) for (t, n), s in self.tasks.items()]
-        return Ok(TaskExchangeReply("m", now, 1000, complete=True, tasks=tasks))
+        return Ok(
+            TaskExchangeReply(
+                "m",
+                now,
+                1000,
+                complete=self.ready,
+                tasks=tasks if self.ready else [],
+            )
+        )
 
 
 @attrs.define
@@ -218,3 +227,29 @@
     for _ in range(40):
         harness.step()
     assert not harness.vm.refusals
+
+
+@pytest.mark.parametrize("ready", [True, False])
+def test_returned_agent_lists_its_ends_before_it_gets_starts(make_harness, ready):
+    """Guards against a second run of tasks that were done while the agent was away.
+
+    After a restart, an agent answers before it has listed its worker's tasks if
+    ``ready`` is false.
+    """
+    harness = make_harness(cores=4)
+    job = harness.submit(4)
+    harness.wait_for_runs(job, 4)
+    harness.clock.advance(harness.shard._timing.task_lease + 1.0)
+    harness.vm.advance(harness.run_time)
+    harness.shard.end_lapsed_attempts()
+    harness.shard.tick()
+    assert harness.queued() == 4
+    harness.vm.epoch, harness.vm.ready = "e2", ready
+    harness.vm.announce()
+    for _ in range(10):
+        harness.step()
+    harness.vm.ready = True
+    for _ in range(10):
+        harness.step()
+    assert (len(harness.vm.ran), harness.queued()) == (4, 0)
+    assert harness.wait_for_runs(harness.submit(4), 4) <= 1.0
