--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/agent_orders.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/agent_orders.py
@@ -106,6 +106,9 @@
         # The agent of a lapsed attempt may return and still list it, so the attempt is
         # to be stopped instead of acknowledged.
         lapsed = event.outcome == rec.LAPSED
+        if lapsed:
+            self._planner.unchecked_agents.add(agent_id)
+            self._services.wake(agent_id)
         orders = self._stops_by_agent if lapsed else self._acks_by_agent
         orders.setdefault(agent_id, []).append(TaskKey(event.key, event.attempt))
 
@@ -132,7 +135,7 @@
         keys = state.keys_by_agent.get(agent_id, {})
         starts = self._pop_valid_starts(agent_id, now)
         acks = self._acks_by_agent.pop(agent_id, [])
-        stops = self._stops_by_agent.pop(agent_id, [])
+        stops = self._pop_stops(record)
         # Every incarnation of an agent gets at least one message, because it then
         # rejects messages from earlier owners of the shard.
         has_answered = (
@@ -158,6 +161,14 @@
             shard_lease_until=self._lease.row.lease_until,
         )
 
+    def _pop_stops(self, record: AgentRecord) -> list[TaskKey]:
+        """Return the stops to send; none before an unchecked agent lists its tasks."""
+        agent_id = record.announce.sender
+        unchecked = agent_id in self._planner.unchecked_agents
+        if unchecked and not record.announce.worker_ready:
+            return []
+        return self._stops_by_agent.pop(agent_id, [])
+
     def _list_cancelled(self, keys: Iterable[str]) -> list[TaskKey]:
         """Return the open attempts of cancelled jobs."""
         state = self._log.state
@@ -241,6 +252,8 @@
         self, agent_id: str, message: TaskExchange, reply: TaskExchangeReply
     ) -> ExchangeEffects:
         self._unanswered_agents.discard(agent_id)
+        if not self._stops_by_agent.get(agent_id):
+            self._planner.unchecked_agents.discard(agent_id)
         if reply.code == Code.OK.value:
             bound = self._context.clock.now() + self._timing.task_lease
             self._inherited_until_by_agent.setdefault(agent_id, bound)
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/start_planner.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/start_planner.py
@@ -54,6 +54,9 @@
     ----------
     forecast : DeadlineForecast
         Run times seen, and the jobs that will be late.
+    unchecked_agents : set of str
+        Agents of lapsed attempts that have not listed their worker's tasks since; they
+        get no starts.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         shard: OwnedShard,
     ) -> None:
         self.forecast = DeadlineForecast(DeclaredRunTime())
+        self.unchecked_agents: set[str] = set()
         self._context, self._services = shard.context, shard.services
         self._lease, self._log = shard.lease, shard.log
         self._timing = shard.context.settings.timing
@@ -207,6 +211,9 @@
             permit = config.permit_until(announce.data_centre)
             if announce.state == "leaving" or not announce.worker_ready:
                 continue
+            # Its first reply may list tasks that were done before their leases lapsed.
+            if announce.sender in self.unchecked_agents:
+                continue
             # Announcements may still arrive from an agent that cannot be reached.
             if self._services.is_silent(announce.sender):
                 continue
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -174,7 +174,7 @@
         for task in self._first_runs.choose(self._jobs.ready, now):
             if unplaceable.rules_out(self._jobs.ready.get_kind(task)):
                 continue
-            if task.crashed_on and not _may_try(task, vms):
+            if task.crashed_on and not self._may_try(task, vms):
                 continue
             if task.step.gang:
                 yield from self._place_gang(task, vms, placement)
