Renew the leader's lease while it loads the jobs

A leader that takes over decodes all jobs before its first pass. It renewed its lease of 2 s between the reads of the store, but not while decoding, and a standby takes over 2.5 s after the last renewal. With more jobs, or a busier processor, than fit into that time each leader would be replaced by the next before it has placed anything, for as long as the jobs are there: nothing starts, and entries answer from memory only.

Reports wait for the scheduler's lock meanwhile, as before.

Evidence: test_lease_is_kept_while_many_jobs_are_loaded, a store double and a standby that looks after each of 40 jobs of 0.2 s: the standby became leader before, and doesn't now. Not run: real processes. Not changed: a single pass of the scheduler that takes longer than the lease is still not renewed meanwhile.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
 import logbook
@@ -158,7 +159,7 @@
                 sender.wake()
 
     def _load(self, stop: threading.Event) -> None:
-        """Load all recorded jobs, renewing the lease between reads."""
+        """Load all recorded jobs, renewing the lease meanwhile."""
         self._versions = {}
         jobs = self._read_intake(JOBS, stop)
         cancels = self._read_intake(CANCELS, stop)
@@ -167,9 +168,7 @@
         for row in weights.rows:
             self._interference.load(row.value or b"")
         progress_by_id = join_progress_rows(progress.rows)
-        self.scheduler.load(
-            (row.value or b"", progress_by_id.get(row.key)) for row in jobs.rows
-        )
+        self.scheduler.load(self._iter_job_rows(jobs, progress_by_id))
         for row in cancels.rows:
             self.scheduler.cancel_job(row.key)
         self._versions = {JOBS: jobs.version, CANCELS: cancels.version}
@@ -182,6 +181,17 @@
             epoch=self.scheduler.epoch,
         )
 
+    def _iter_job_rows(
+        self, jobs: Page, progress_by_id: dict[str, bytes]
+    ) -> Iterator[tuple[bytes, bytes | None]]:
+        """Yield the rows of each job and of its progress.
+
+        Renews the lease, since it can be shorter than the time to decode all jobs.
+        """
+        for row in jobs.rows:
+            self.leadership.renew()
+            yield row.value or b"", progress_by_id.get(row.key)
+
     def _read_intake(self, table: str, stop: threading.Event) -> Page:
         """Return a table's rows from all intake partitions, with the lowest version."""
         with ThreadPoolExecutor(_LOAD_THREADS) as pool:
--- a/packages/pollenkeel-jobs/tests/core/test_leader.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leader.py
@@ -5,6 +5,7 @@
 import pytest
 from jobs_doubles import make_job
 
+from pollenkeel_jobs.core import job_table
 from pollenkeel_jobs.core.leader import Term
 from pollenkeel_jobs.core.leadership import Leadership
 from pollenkeel_jobs.core.messages import RelayedRow, RelayWrite
@@ -20,7 +21,7 @@
     OperationsDecoder,
     OperationsFeed,
 )
-from pollenkeel_jobs.core.records import encode_job
+from pollenkeel_jobs.core.records import decode_job, encode_job
 from pollenkeel_jobs.core.tables import RowWrite, Transaction
 from pollenkeel_standins.processes import wait_until
 
@@ -125,3 +126,24 @@
     tables.faults = [fault]
     term._delete_old_jobs()
     assert tables.rows_by_key[LEADER_PARTITION, PROGRESS, "j1"].value is not None
+
+
+def test_lease_is_kept_while_many_jobs_are_loaded(term, tables, clock, monkeypatch):
+    """Guards against leaders that replace each other before any has loaded the jobs."""
+    for number in range(40):
+        job = make_job(f"job-{number}")
+        write = RowWrite(JOBS, job.job_id, encode_job(job))
+        tables.apply(Transaction(get_intake_partition(job.job_id), (), (write,)))
+    standby = Leadership("entry-2", "tcp://nowhere", tables, clock)
+    acquired = []
+
+    def decode_slowly(row):
+        clock.advance(0.2)
+        acquired.append(standby.observe(lambda leader: True))
+        return decode_job(row)
+
+    monkeypatch.setattr(job_table, "decode_job", decode_slowly)
+    term._load(threading.Event())
+    assert len(acquired) == 40
+    assert not any(acquired)
+    assert term.leadership.leads
