Let operators ask the platform's entries what a job waits for

`pollenkeel explain JOB` had no answer there: on-call engineers had to search the logs for the lines `step waits`. The leader now describes a job from its memory: state, recorded state, open steps with what their first waiting task waits for (the steps before it, or the VMs by obstacle, by the same function as the log line), and its tasks with their latest run. An entry serves it as /v1/explain/JOB at its metrics address, in the form that the command line shows already; one that doesn't lead answers 2018, after which the command tries the next entry. At most ten steps and a hundred tasks are described, since the scheduler is locked meanwhile.

Evidence: unit tests of the description, and of the command against the HTTP server of two entries, one of which leads; the output in OPERATIONS.md is from the real programs beside the stand-ins.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -10,6 +10,7 @@
 
 import attrs
 import logbook
+from result import Err, Result
 
 from pollenkeel_jobs.core.advice import AdviceService
 from pollenkeel_jobs.core.contact import LeaderContact
@@ -23,6 +24,7 @@
 from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.guard import run_step
 from pollenkeel_kernel.core.messages import ErrorReply, Message
+from pollenkeel_kernel.core.refusal import Refusal
 from pollenkeel_kernel.core.transport import ReplyServer
 
 logger = logbook.Logger("entry")
@@ -149,6 +151,15 @@
             "term": term.scheduler.describe() if term is not None else None,
         }
 
+    def explain(self, job_id: str) -> Result[dict[str, Any], Refusal]:
+        """Return what operators may ask of a job; only the leader knows it."""
+        term = self._contact.term
+        if term is not None and not term.over.is_set():
+            return term.explain(job_id)
+        leader = self._leadership.leader
+        known = f"; the leader is {leader.address}" if leader else ""
+        return Err(Refusal(Code.NOT_OWNER, f"this process does not lead{known}"))
+
     def close(self) -> None:
         """Stop listening for messages of other processes."""
         self._server.close()
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -9,10 +9,11 @@
 import threading
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any
 
 import logbook
 import msgpack
-from result import Err
+from result import Err, Ok, Result
 
 from pollenkeel_jobs.core.advice import AdviceService
 from pollenkeel_jobs.core.commits import commit_rows
@@ -55,9 +56,11 @@
 )
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.clock import Clock
+from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.guard import run_step
 from pollenkeel_kernel.core.logs import log_change
 from pollenkeel_kernel.core.messages import Message
+from pollenkeel_kernel.core.refusal import Refusal
 from pollenkeel_kernel.core.transport import PeerClient
 
 logger = logbook.Logger("leader")
@@ -379,6 +382,15 @@
         log_change(logger, "agent discovered", vm=name, address=address)
         self._senders_by_vm[vm] = VmOrderSender(self, vm, peer)
 
+    def explain(self, job_id: str) -> Result[dict[str, Any], Refusal]:
+        """Return what operators may ask of a job."""
+        if not self._loaded:
+            return Err(Refusal(Code.NOT_OWNER, "the jobs are being loaded"))
+        found = self.scheduler.explain(job_id)
+        if found is None:
+            return Err(Refusal(Code.NOT_FOUND, f"job {job_id!r:.40}"))
+        return Ok(found)
+
     # Messages.
 
     def _write_relayed(self, message: RelayWrite) -> str:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -14,6 +14,7 @@
 
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketCache
 from pollenkeel_jobs.core.collection import paused_collection
+from pollenkeel_jobs.core.explanation import describe_job
 from pollenkeel_jobs.core.fleet import Fleet
 from pollenkeel_jobs.core.idle_jobs import IdleJobs
 from pollenkeel_jobs.core.interference_model import InterferenceModel
@@ -33,6 +34,7 @@
     JobSpec,
     JobState,
     JobStatus,
+    Task,
     TaskState,
 )
 from pollenkeel_jobs.core.names import INTERFERENCE, INTERFERENCE_KEY
@@ -227,6 +229,14 @@
                 ],
             }
 
+    def explain(self, job_id: str) -> dict[str, Any] | None:
+        """Return what operators may ask of a job, or None for an unknown one."""
+        with self._lock:
+            job = self._jobs.find(job_id)
+            if job is None:
+                return None
+            return describe_job(job, self._fleet.vms(), self._find_obstacle)
+
     # Advice.
 
     def pop_question(self) -> AdviceQuestion | None:
@@ -492,15 +502,14 @@
         for placed in self._queue.place(vms, now):
             self._record_placement(placed, now)
         self._wait_log.record(
-            self._queue.unplaced,
-            self._fleet.vms(),
-            lambda task, vm: (
-                self._fleet.find_obstacle(vm, now)
-                or self._placement.find_obstacle(task, vm)
-            ),
-            now,
+            self._queue.unplaced, self._fleet.vms(), self._find_obstacle, now
         )
 
+    def _find_obstacle(self, task: Task, vm: Vm) -> str:
+        """Return why a task may not run on a VM, or an empty string if it may."""
+        obstacle = self._fleet.find_obstacle(vm, self._clock.now())
+        return obstacle or self._placement.find_obstacle(task, vm)
+
     def _update_idle_jobs(self) -> None:
         now = self._clock.now()
         if now >= self._next_idle_update_at:
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/http.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/http.py
@@ -137,6 +137,7 @@
     """Attribute container for the cherrypy handlers below ``/v1``."""
 
     dump: Any
+    explain: Any
 
 
 def write_json(value: Any, status: int = 200) -> bytes:
