--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any
 
 import logbook
 import msgpack
-from result import Err
+from result import Err, Ok, Result
 
 from pollenkeel_jobs.core.advice import AdviceService
 from pollenkeel_jobs.core.commits import commit_rows
@@ -59,6 +61,7 @@
 from pollenkeel_kernel.core.guard import run_step
 from pollenkeel_kernel.core.logs import log_change
 from pollenkeel_kernel.core.messages import Message
+from pollenkeel_kernel.core.refusal import Refusal
 from pollenkeel_kernel.core.transport import PeerClient
 
 logger = logbook.Logger("leader")
@@ -169,7 +172,7 @@
                 sender.wake()
 
     def _load(self, stop: threading.Event) -> None:
-        """Load all recorded jobs, renewing the lease between reads."""
+        """Load all recorded jobs, renewing the lease meanwhile."""
         self._versions = {}
         jobs = self._read_intake(JOBS, stop)
         cancels = self._read_intake(CANCELS, stop)
@@ -179,8 +182,7 @@
             self._interference.load(row.value or b"")
         progress_by_id = join_progress_rows(progress.rows)
         self.scheduler.load(
-            ((row.value or b"", progress_by_id.get(row.key)) for row in jobs.rows),
-            [row.key for row in jobs.rows],
+            self._iter_job_rows(jobs, progress_by_id), [row.key for row in jobs.rows]
         )
         for row in cancels.rows:
             self.scheduler.cancel_job(row.key)
@@ -194,6 +196,17 @@
             epoch=self.scheduler.epoch,
         )
 
+    def _iter_job_rows(
+        self, jobs: Page, progress_by_id: dict[str, bytes]
+    ) -> Iterator[tuple[bytes, bytes | None]]:
+        """Yield the rows of each job and of its progress.
+
+        Renews the lease, since it can be shorter than the time to decode all jobs.
+        """
+        for row in jobs.rows:
+            self.leadership.renew()
+            yield row.value or b"", progress_by_id.get(row.key)
+
     def _read_intake(self, table: str, stop: threading.Event) -> Page:
         """Return a table's rows from all intake partitions, with the lowest version."""
         with ThreadPoolExecutor(_LOAD_THREADS) as pool:
@@ -426,6 +439,15 @@
         log_change(logger, "agent discovered", vm=name, address=address)
         self._senders_by_vm[vm] = VmOrderSender(self, vm, peer)
 
+    def explain(self, job_id: str) -> Result[dict[str, Any], Refusal]:
+        """Return what operators may ask of a job."""
+        if not self._loaded:
+            return Err(Refusal(Code.NOT_OWNER, "the jobs are being loaded"))
+        found = self.scheduler.explain(job_id)
+        if found is None:
+            return Err(Refusal(Code.NOT_FOUND, f"job {job_id!r:.40}"))
+        return Ok(found)
+
     # Messages.
 
     def _write_relayed(self, message: RelayWrite) -> str:
