Request tickets for free VMs once those with tickets are full

Callers of a queue with an advice service saw a job without a run for as long as its tickets were valid, beside free VMs: tickets are requested for 30 VMs at once, and again only when none of them is valid any more. If other tasks fill these VMs first, the step waits for the validity to end.

A step that finds no VM now requests tickets for the VMs without one where it may run otherwise, at most once a second. Each ticket has its own time of validity, as those of a step no longer come from one reply.

Ruled out: without a free VM there is no further request. Not covered: a best-effort step whose VMs with tickets have no memory, while interference closes the others.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/advice.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/advice.py
@@ -70,12 +70,17 @@
         """Return the reply of the service, or the cause of the failure."""
 
 
+@attrs.frozen
+class _Ticket:
+    value: str
+    valid_until: float
+
+
 @attrs.define
 class _StepTickets:
     """Tickets of one step; ``refused`` holds the incarnations that got none."""
 
-    tickets_by_incarnation: dict[str, str] = attrs.field(factory=dict)
-    valid_until: float = 0.0
+    tickets_by_incarnation: dict[str, _Ticket] = attrs.field(factory=dict)
     asked_at: float = 0.0
     refused: set[str] = attrs.field(factory=set)
 
@@ -97,9 +102,10 @@
     def find(self, task: Task, vm: Vm) -> str:
         """Return a valid ticket for a task on a VM, or an empty string."""
         step = self._tickets_by_step.get(_get_step_id(task))
-        if step is None or self._clock.now() > step.valid_until:
+        ticket = step.tickets_by_incarnation.get(vm.incarnation) if step else None
+        if ticket is None or self._clock.now() > ticket.valid_until:
             return ""
-        return step.tickets_by_incarnation.get(vm.incarnation, "")
+        return ticket.value
 
     def drop(self, task: Task, vm: Vm) -> None:
         """Drop the ticket for a task on a VM, which the worker has rejected."""
@@ -110,12 +116,16 @@
     def has_tickets(self, task: Task) -> bool:
         """Return whether a task's step has a valid ticket for any VM."""
         step = self._tickets_by_step.get(_get_step_id(task))
-        return (
-            step is not None
-            and bool(step.tickets_by_incarnation)
-            and self._clock.now() <= step.valid_until
+        now = self._clock.now()
+        return step is not None and any(
+            now <= ticket.valid_until for ticket in step.tickets_by_incarnation.values()
         )
 
+    def may_request(self, task: Task) -> bool:
+        """Return whether tickets of a task's step may be requested again now."""
+        step = self._tickets_by_step.get(_get_step_id(task))
+        return step is None or self._clock.now() - step.asked_at >= _REPEAT_INTERVAL
+
     def request_tickets(self, task: Task, vms: Iterable[Vm]) -> None:
         """Queue a request for tickets of a task's step, least loaded VMs first.
 
@@ -125,9 +135,9 @@
         pending = self._pending_questions_by_step
         if step_id not in pending and len(pending) >= _MAX_PENDING_QUESTIONS:
             return
-        step = self._tickets_by_step.setdefault(step_id, _StepTickets())
-        if self._clock.now() - step.asked_at < _REPEAT_INTERVAL:
+        if not self.may_request(task):
             return
+        step = self._tickets_by_step.setdefault(step_id, _StepTickets())
         candidates = sorted(vms, key=lambda vm: vm.cpu_load)
         eligible = [vm for vm in candidates if vm.incarnation not in step.refused]
         if eligible:
@@ -151,14 +161,14 @@
     ) -> None:
         """Store the tickets of a reply; ``asked_at`` is the time of the request."""
         step = self._tickets_by_step.setdefault(question.step_id, _StepTickets())
+        valid_until = asked_at + advice.valid - _DELIVERY_RESERVE_SECONDS
         for incarnation in question.incarnations:
             ticket = advice.tickets_by_worker.get(_get_worker_id(incarnation))
             if ticket is None:
                 # The service never changes its decision for a step and a worker.
                 step.refused.add(incarnation)
             else:
-                step.tickets_by_incarnation[incarnation] = ticket
-        step.valid_until = asked_at + advice.valid - _DELIVERY_RESERVE_SECONDS
+                step.tickets_by_incarnation[incarnation] = _Ticket(ticket, valid_until)
 
     def forget(self, job_id: str) -> None:
         """Drop the tickets and requests of a job that has ended."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -128,6 +128,7 @@
             else:
                 unplaceable.add(kind, task)
                 self._record_unplaced(kind, task)
+                self._request_more_tickets(task, vms)
 
     def _record_unplaced(self, kind: DemandKind, task: Task) -> None:
         self._unplaced_by_kind.setdefault((kind, len(task.crashed_on)), task)
@@ -206,6 +207,19 @@
             self._tickets.request_tickets(task, vms)
         return advised
 
+    def _request_more_tickets(self, task: Task, vms: list[Vm]) -> None:
+        """Request tickets for other VMs if those that a task has are of no use."""
+        if not task.job.spec.queue.advised or not self._tickets.may_request(task):
+            return
+        missing = [
+            vm
+            for vm in vms
+            if not self._tickets.find(task, vm)
+            and not self._placement.find_obstacle(task, vm)
+        ]
+        if missing:
+            self._tickets.request_tickets(task, missing)
+
     def _place_gang(
         self, task: Task, vms: list[Vm], placement: Placement
     ) -> list[Placed]:
