Count a crash under a strongly suspected task whose report is lost

A task that crashes its workers could be started more often than promised.

Cause: only the agent of a VM reports a crash of its worker, and keeps it in memory. If the agent is lost at the same time, the crash counts for no task. With a limit of five crashes in any case there is no start to spare.

Now, if a new incarnation of a worker is reported and nothing is said of the end of the one before, that counts as a crash under the tasks placed there that have three crashes already. Others are not suspected, as most such ends are a loss of the whole VM (test_loss_of_whole_vms_is_no_crash_of_a_task). A worker that was draining has left as announced.

Evidence: test_crash_counts_although_its_report_is_lost failed in both cases before: the task was not given up after five crashes, two of them unreported.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
@@ -7,7 +7,7 @@
 import logbook
 
 from pollenkeel_jobs.core.job_table import JobTable
-from pollenkeel_jobs.core.messages import WorkerCrash
+from pollenkeel_jobs.core.messages import RunKey, VmReport, WorkerCrash
 from pollenkeel_jobs.core.model import Task, TaskState
 from pollenkeel_jobs.core.start_history import SOUND_SECONDS
 from pollenkeel_jobs.core.vms import Vm
@@ -22,6 +22,9 @@
 #: Number of crashes after which a task is given up in any case. More than five starts
 #: of a task that crashes each worker break a promise to the operators.
 _MAX_CRASHES = 5
+#: Number of crashes from which on a task is suspected of a worker's end that no agent
+#: reports.
+_MIN_CRASHES_TO_SUSPECT = 3
 
 
 def record_sound_run(jobs: JobTable, vm: Vm, task: Task) -> None:
@@ -93,6 +96,32 @@
             yield task
 
 
+def find_unreported_crash(vm: Vm, report: VmReport) -> Iterator[WorkerCrash]:
+    """Yield the end of a worker that its agent does not report, as it was lost as well.
+
+    Most such ends are a loss of the whole VM. So only the tasks that may be started
+    once or twice more are suspected, for the sake of ``_MAX_CRASHES``.
+
+    Parameters
+    ----------
+    vm : Vm
+        VM of the worker, as it was before the report.
+    report : VmReport
+        Report of the present worker.
+    """
+    ended = vm.incarnation
+    reported = {crash.worker for crash in report.crashes}
+    if ended in (report.worker, "") or ended in reported or vm.draining:
+        return
+    suspects = [
+        RunKey(task.task_id, task.run)
+        for task in vm.tasks_by_id.values()
+        if len(task.crashed_on) >= _MIN_CRASHES_TO_SUSPECT and not task.awaits_order
+    ]
+    if suspects:
+        yield WorkerCrash(ended, suspects, began=False)
+
+
 def _is_guilty(task: Task) -> bool:
     """Return whether there is enough evidence that a task crashes its workers."""
     return (
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -7,6 +7,7 @@
 import logbook
 
 from pollenkeel_jobs.core.crashes import (
+    find_unreported_crash,
     record_crash,
     record_own_end,
     record_sound_run,
@@ -81,10 +82,11 @@
     def apply(self, vm: Vm, report: VmReport, now: float) -> None:
         """Apply a report of the VM's present worker, or of its next one."""
         vm.heard_at = now
+        crashes = [*report.crashes, *find_unreported_crash(vm, report)]
         if report.worker != vm.incarnation:
             for task in self._fleet.begin_incarnation(vm, report.worker):
                 self._control.requeue(task, "worker restarted")
-        for crash in report.crashes:
+        for crash in crashes:
             for task in record_crash(self._jobs, crash):
                 if not task.job.status.final:
                     self._control.finish(task.job, JobStatus.FAILED)
--- a/packages/pollenkeel-jobs/tests/core/test_crash_suspects.py
+++ b/packages/pollenkeel-jobs/tests/core/test_crash_suspects.py
@@ -4,7 +4,7 @@
 from crash_play import STEP, RandomKills
 from jobs_doubles import Site, make_job
 
-from pollenkeel_jobs.core.messages import RunKey
+from pollenkeel_jobs.core.messages import RunKey, WorkerCrash
 from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
 
 #: Starts of a task that crashes each worker, as promised to the operators.
@@ -89,6 +89,27 @@
     assert site.scheduler.find_status("j1") is JobStatus.RUNNING
 
 
+@pytest.mark.parametrize("began", [True, False])
+def test_crash_counts_although_its_report_is_lost(clock, began):
+    """Guards against more starts than promised if agents are lost with the worker."""
+    site = Site(clock, vms=4)
+    site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 1000), 1.0),)))
+    site.step()
+    for number in range(MAX_STARTS):
+        assert site.scheduler.find_status("j1") is not JobStatus.FAILED
+        holder = next(vm for vm in site.vms if vm.running)
+        run = holder.running[0]
+        crash = WorkerCrash(
+            holder.incarnation, [RunKey(run.task_id, run.run)], began=began
+        )
+        holder.crash()
+        if number < 3:
+            holder.crashes.append(crash)
+        site.step()
+        site.step()
+    assert site.scheduler.find_status("j1") is JobStatus.FAILED
+
+
 def play_crashes(clock, tasks, crashes, vms=4):
     """Return a play in which a worker is killed each time all tasks have started."""
     play = RandomKills(clock, 0, vms)
