Let the runners come back under new ids in the test of a loss of power

After a real loss of power the runner of a VM has another id. Its earlier tasks then do not wait for leases, while under an old id the leader must make sure that the new runner has not executed orders of the time before.

--- a/standins/pollenkeel_standins/job_site.py
+++ b/standins/pollenkeel_standins/job_site.py
@@ -150,13 +150,23 @@
         self._crashed_runs[number] += record["runs"]
         self.processes_by_name[f"runner-{number}"].kill()
 
-    def restart_runner(self, number: int, first_heartbeat: float) -> None:
-        """Start a runner again under its id; its clock and its counts start anew.
+    def restart_runner(
+        self, number: int, first_heartbeat: float, runner_id: str = ""
+    ) -> None:
+        """Start a runner again; its clock and its counts start anew.
 
-        ``first_heartbeat`` is the time from its start to its first heartbeat in
-        seconds.
+        Parameters
+        ----------
+        number : int
+            Number of its VM.
+        first_heartbeat : float
+            Time from its start to its first heartbeat in seconds.
+        runner_id : str
+            Its id; empty for that of the runner before.
         """
         options = ["--first-heartbeat", f"{first_heartbeat}"]
+        if runner_id:
+            options += ["--id", runner_id]
         options += ["--clock-offset", f"{-time.time()}"]
         self._start_standin(
             f"runner-{number}", "runner", *self._runner_commands[number], *options
--- a/tests/proofs/test_power_loss.py
+++ b/tests/proofs/test_power_loss.py
@@ -76,8 +76,9 @@
     assert written.is_ok()
 
 
-def cut_power(site, vms):
+def cut_power(site, vms, new_ids):
     """Kill all processes but the store at once, and start them again together."""
+    runner_ids = [f"i-new-{number}" if new_ids else "" for number in range(vms)]
     names = [name for name in site.processes_by_name if name.startswith(("e", "a"))]
     with ThreadPoolExecutor(len(names) + vms) as pool:
         kills = [pool.submit(site.processes_by_name[name].kill) for name in names]
@@ -86,7 +87,10 @@
             kill.result()
         write_weights(site)
         starts = [pool.submit(site.restart, name) for name in names]
-        starts += [pool.submit(site.restart_runner, n, 0.5) for n in range(vms)]
+        starts += [
+            pool.submit(site.restart_runner, number, 0.5, runner_id)
+            for number, runner_id in enumerate(runner_ids)
+        ]
         for start in starts:
             start.result()
 
@@ -119,11 +123,13 @@
     return idle
 
 
+@pytest.mark.parametrize("new_ids", [False, True])
 @pytest.mark.parametrize("seconds", [0.0, 0.15, 1.0])
-def test_all_vms_lose_power_at_the_same_moment(seconds, tmp_path):
+def test_all_vms_lose_power_at_the_same_moment(seconds, new_ids, tmp_path):
     """Guards against accepted jobs that are not taken up again within the bound (LOST).
 
     A job was accepted, a job cancelled and a configuration changed ``seconds`` before.
+    The runners come back under their old ids or under new ones.
     """
     with JobSite(tmp_path, entries=3, vms=3) as site:
         job_ids = submit_all(site)
@@ -133,7 +139,7 @@
         assert site.call("DELETE", "cancelled", 0).status == 200
         site.submit("latest", ORDINARY, "run 1")
         time.sleep(seconds)
-        cut_power(site, 3)
+        cut_power(site, 3, new_ids)
         returned_at = time.time()
         job_ids.append("latest")
         time.sleep(RECOVERY_SECONDS)
