Wait for agents that come back one after the other

Cause: a new leader gives up the tasks of workers whose agents have not reported 3 s after the first report of the term. On a busy machine agents come back further apart. Besides, a first report without lists, from an agent that had found its worker but got no answer yet, ended the wait for that VM in the same pass, since the leases of the term before had expired.

Ruled out: the leader's table of agents as evidence. A restarted agent writes its row only at the end of its start, shortly before it reports.

Fix: the 3 s count from the latest agent that has joined the term, up to 8 s after the first, and the first lists of a VM are waited for 2 s after its first report. Without a restart nothing changes: agents report within the 5.6 s in which old leases expire. The price is that tasks of a VM that is lost while many agents restart wait up to 5 s longer.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -27,10 +27,15 @@
 _LONGEST_LEASE = 6.0
 #: Seconds after which any lease that a worker has accepted has expired for certain.
 _LONGEST_LEASE_EXPIRY_SECONDS = _LONGEST_LEASE * _CLOCK_SKEW_FACTOR + _EXPIRY_MARGIN
-#: Seconds after the first report of a term for which agents that have not reported may
-#: still be starting. When all processes restart, agents come back at different times,
-#: and their workers may list ends of runs that no leader has recorded.
+#: Seconds after the latest agent's first report of a term for which others may still be
+#: starting. When all processes restart, agents come back at different times, and their
+#: workers may list ends of runs that no leader has recorded.
 _AGENT_START_SECONDS = 3.0
+#: Limit of that wait, in seconds after the first report of a term.
+_LONGEST_AGENT_START_SECONDS = 8.0
+#: Seconds after an agent's first report of a term for which its worker's lists are
+#: waited for. The agent has found its worker, which may be slow to list its runs.
+_FIRST_LISTS_SECONDS = 2.0
 #: Seconds for which the operators' settings are valid after they were read.
 _OPERATIONS_VALID_SECONDS = 4.0
 
@@ -55,6 +60,7 @@
         self._clock = clock
         self._began_at = clock.now()
         self._first_heard_at = float("inf")
+        self._last_joined_at = float("inf")
         self._vms_by_name: dict[str, Vm] = {}
         self._vms_by_incarnation: dict[str, Vm] = {}
         self._orphans_by_incarnation: dict[str, dict[str, Task]] = {}
@@ -147,6 +153,8 @@
         )
         now = self._clock.now()
         self._first_heard_at = min(self._first_heard_at, now)
+        if not vm.incarnation:
+            self._last_joined_at = now
         lost, inherited = self._take_earlier_tasks(vm, incarnation)
         self._vms_by_incarnation.pop(vm.incarnation, None)
         self._vms_by_incarnation[incarnation] = vm
@@ -158,7 +166,9 @@
         vm.ended_through = vm.recorded_through = 0
         # Until the first grant, runs here may hold a lease of an earlier leader.
         vm.leases_expired_at = max(
-            vm.leases_expired_at, self._began_at + _LEASE_EXPIRY_SECONDS
+            vm.leases_expired_at,
+            self._began_at + _LEASE_EXPIRY_SECONDS,
+            now + _FIRST_LISTS_SECONDS,
         )
         for task in self._orphans_by_incarnation.pop(incarnation, {}).values():
             vm.add(task)
@@ -229,10 +239,11 @@
                 for task in list(vm.tasks_by_id.values()):
                     vm.remove(task)
                     yield task
-        if now > max(
-            self._began_at + _LEASE_EXPIRY_SECONDS,
-            self._first_heard_at + _AGENT_START_SECONDS,
-        ):
+        agents_started_by = min(
+            self._last_joined_at + _AGENT_START_SECONDS,
+            self._first_heard_at + _LONGEST_AGENT_START_SECONDS,
+        )
+        if now > max(self._began_at + _LEASE_EXPIRY_SECONDS, agents_started_by):
             for tasks in self._orphans_by_incarnation.values():
                 yield from tasks.values()
             self._orphans_by_incarnation.clear()
--- a/packages/pollenkeel-jobs/tests/core/test_late_ends.py
+++ b/packages/pollenkeel-jobs/tests/core/test_late_ends.py
@@ -141,6 +141,57 @@
     assert successor.scheduler.find_status("j1").value == "done"
 
 
+@pytest.fixture
+def restarted(clock):
+    """Site of a new leader, none of whose agents is back; vm-0 has ended the task."""
+    job = make_job(steps=(make_step(),))
+    site = Site(clock, vms=4)
+    for vm in site.vms[1:]:
+        vm.draining = True
+    site.scheduler.add_job(job)
+    site.step()
+    site.vms[0].end(TASK)
+    successor = succeed(site, [job])
+    for vm in successor.vms:
+        vm.away, vm.draining = True, False
+    clock.advance(WORKER_LEASE + 2.0)
+    successor.step()
+    return successor
+
+
+def test_agents_that_come_back_one_after_the_other_are_waited_for(restarted, clock):
+    """Guards against a second run of a task whose agent is the last to come back."""
+    for vm in (*restarted.vms[1:], restarted.vms[0]):
+        vm.away = False
+        restarted.step()
+        clock.advance(2.0)
+    assert restarted.running == []
+    assert restarted.scheduler.find_status("j1").value == "done"
+
+
+def test_wait_for_agents_that_come_back_is_bounded(restarted, clock):
+    """Guards against a lost VM whose tasks wait as long as new agents appear."""
+    for vm in restarted.vms[1:]:
+        vm.away = False
+        restarted.step()
+        clock.advance(2.9)
+    restarted.step()
+    assert restarted.running == [TASK]
+
+
+def test_first_lists_of_an_agent_are_waited_for(restarted, clock):
+    """Guards against a second run if a worker is slow to list its runs."""
+    late, other = restarted.vms[:2]
+    late.report_without_lists()
+    other.away = False
+    restarted.step()
+    assert restarted.running == []
+    clock.advance(1.0)
+    late.away = False
+    restarted.step()
+    assert restarted.scheduler.find_status("j1").value == "done"
+
+
 class BusyVm:
     """Worker whose ends come as fast as one list after the other can show them.
 
