--- a/packages/pollenkeel-jobs/tests/core/test_idle_jobs.py
+++ b/packages/pollenkeel-jobs/tests/core/test_idle_jobs.py
@@ -52,9 +52,10 @@
     site = Site(clock, vms=1)
     site.scheduler.add_job(make_job("a", (StepSpec(3, Demand(1000, 1000), 60.0),)))
     site.step()
+    site.vms[0].crash()
+    site.vms[0].report()
     for task in site.scheduler._jobs.find("a").tasks():
         task.crashed_on |= {"vm-1/x~1", "vm-2/x~1", "vm-3/x~1"}
-    site.vms[0].crash()
     with logbook.TestHandler() as handler:
         pass_seconds(site, clock, 2.0, 0.25)
     lines = list_lines(handler, "step waits")
