Move the specifications of jobs out of the module of their progress

Demand, StepSpec, QueuePolicy and JobSpec, which never change, stand in specs.py; jobs, tasks and their states stay. The text of the classes is unchanged, imports follow.

--- a/benchmarks/job_placement.py
+++ b/benchmarks/job_placement.py
@@ -14,15 +14,9 @@
 
 from pollenkeel_jobs.core.candidates import Candidates
 from pollenkeel_jobs.core.interference_model import InterferenceModel
-from pollenkeel_jobs.core.model import (
-    Demand,
-    Job,
-    JobSpec,
-    QueuePolicy,
-    StepSpec,
-    Task,
-)
+from pollenkeel_jobs.core.model import Job, Task
 from pollenkeel_jobs.core.placement import LeastLoaded
+from pollenkeel_jobs.core.specs import Demand, JobSpec, QueuePolicy, StepSpec
 from pollenkeel_jobs.core.vms import Vm
 
 FLEETS = 3
--- a/benchmarks/leader_reports.py
+++ b/benchmarks/leader_reports.py
@@ -14,9 +14,9 @@
 
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.messages import RunningTask, VmReport
-from pollenkeel_jobs.core.model import Demand, JobSpec, QueuePolicy, StepSpec
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.scheduler import Scheduler
+from pollenkeel_jobs.core.specs import Demand, JobSpec, QueuePolicy, StepSpec
 from pollenkeel_kernel.core.clock import ManualClock
 from pollenkeel_kernel.core.codec import decode, encode
 from pollenkeel_kernel.policy.regression import RecursiveLeastSquares
--- a/benchmarks/progress_rows.py
+++ b/benchmarks/progress_rows.py
@@ -24,7 +24,7 @@
 from pollenkeel_jobs.core.leader import Term
 from pollenkeel_jobs.core.leadership import Leadership
 from pollenkeel_jobs.core.messages import EndedTask, RunningTask, VmReport
-from pollenkeel_jobs.core.model import Demand, JobSpec, JobStatus, QueuePolicy, StepSpec
+from pollenkeel_jobs.core.model import JobStatus
 from pollenkeel_jobs.core.names import (
     JOBS,
     LEADER_PARTITION,
@@ -35,6 +35,7 @@
 from pollenkeel_jobs.core.progress_rows import join_progress_rows
 from pollenkeel_jobs.core.records import encode_job
 from pollenkeel_jobs.core.scheduler import Scheduler
+from pollenkeel_jobs.core.specs import Demand, JobSpec, QueuePolicy, StepSpec
 from pollenkeel_jobs.core.tables import Row, RowWrite, Transaction
 from pollenkeel_kernel.core.clock import ManualClock
 from pollenkeel_platform.store import PlatformTables
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
@@ -20,7 +20,7 @@
     RelayedRow,
 )
 from pollenkeel_jobs.core.metrics import JOBS_SUBMITTED
-from pollenkeel_jobs.core.model import JobSpec, JobState, JobStatus
+from pollenkeel_jobs.core.model import JobState, JobStatus
 from pollenkeel_jobs.core.names import (
     CANCELS,
     JOBS,
@@ -34,6 +34,7 @@
     decode_state,
     encode_job,
 )
+from pollenkeel_jobs.core.specs import JobSpec
 from pollenkeel_jobs.core.tables import (
     TableService,
 )
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
@@ -10,13 +10,13 @@
 from pollenkeel_jobs.core.metrics import JOB_OBJECTIVE_RATIO, JOBS_ENDED, RUNS_LOST
 from pollenkeel_jobs.core.model import (
     Job,
-    JobSpec,
     JobStatus,
     Task,
     TaskState,
     parse_task_id,
 )
 from pollenkeel_jobs.core.records import RecordError, apply_progress, decode_job
+from pollenkeel_jobs.core.specs import JobSpec
 from pollenkeel_jobs.core.unreadable import UnreadableJobs
 from pollenkeel_jobs.core.waiting import WaitingTasks
 from pollenkeel_kernel.core.clock import Clock
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from pollenkeel_jobs.core.model import Demand
+from pollenkeel_jobs.core.specs import Demand
 from pollenkeel_kernel.core.messages import Message
 
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
@@ -10,7 +10,7 @@
 import logbook
 from result import Err
 
-from pollenkeel_jobs.core.model import QueuePolicy
+from pollenkeel_jobs.core.specs import QueuePolicy
 from pollenkeel_jobs.core.tables import FailureKind, Row, TableService
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.guard import run_step
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/preemption.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/preemption.py
@@ -12,9 +12,10 @@
 import attrs
 
 from pollenkeel_jobs.core.advice import TicketCache
-from pollenkeel_jobs.core.model import Demand, Task, TaskState
+from pollenkeel_jobs.core.model import Task, TaskState
 from pollenkeel_jobs.core.placement import NO_ROOM, Placement
 from pollenkeel_jobs.core.reservations import Reservation, Reservations
+from pollenkeel_jobs.core.specs import Demand
 from pollenkeel_jobs.core.unplaceable import get_step
 from pollenkeel_jobs.core.victims import Stoppable, Victims, choose_victims
 from pollenkeel_jobs.core.vms import Vm
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
@@ -10,17 +10,14 @@
 import msgpack
 
 from pollenkeel_jobs.core.model import (
-    Demand,
     Job,
-    JobSpec,
     JobState,
     JobStatus,
-    QueuePolicy,
-    StepSpec,
     StepTasks,
     Task,
     TaskState,
 )
+from pollenkeel_jobs.core.specs import Demand, JobSpec, QueuePolicy, StepSpec
 
 #: Version of the progress rows of jobs that have not ended. Earlier rows have no
 #: version and a list of all tasks instead.
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -17,13 +17,7 @@
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
 from pollenkeel_jobs.core.messages import EndedTask, VmReport
 from pollenkeel_jobs.core.metrics import RUNS_ENDED
-from pollenkeel_jobs.core.model import (
-    Demand,
-    JobStatus,
-    Task,
-    TaskState,
-    parse_task_id,
-)
+from pollenkeel_jobs.core.model import JobStatus, Task, TaskState, parse_task_id
 from pollenkeel_jobs.core.progress import (
     store_checkpoint,
     update_best_effort_use,
@@ -32,6 +26,7 @@
 )
 from pollenkeel_jobs.core.report_log import is_cut, log_cut_lists
 from pollenkeel_jobs.core.run_control import RunControl
+from pollenkeel_jobs.core.specs import Demand
 from pollenkeel_jobs.core.speed import VmSpeeds
 from pollenkeel_jobs.core.stalls import StallDetector
 from pollenkeel_jobs.core.vms import Vm
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reservations.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reservations.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from pollenkeel_jobs.core.model import Demand, Task
+from pollenkeel_jobs.core.model import Task
+from pollenkeel_jobs.core.specs import Demand
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_jobs.core.waiting import WaitingTasks
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -29,15 +29,7 @@
 )
 from pollenkeel_jobs.core.metrics import RUNS_PLACED, WAIT_SECONDS
 from pollenkeel_jobs.core.migration import Migration
-from pollenkeel_jobs.core.model import (
-    Demand,
-    Job,
-    JobSpec,
-    JobState,
-    JobStatus,
-    Task,
-    TaskState,
-)
+from pollenkeel_jobs.core.model import Job, JobState, JobStatus, Task, TaskState
 from pollenkeel_jobs.core.names import INTERFERENCE, INTERFERENCE_KEY
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.passes import (
@@ -59,6 +51,7 @@
 from pollenkeel_jobs.core.reports import ReportProcessor
 from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.run_control import RunControl
+from pollenkeel_jobs.core.specs import Demand, JobSpec
 from pollenkeel_jobs.core.tables import RowWrite
 from pollenkeel_jobs.core.vms import Vm, make_profile
 from pollenkeel_kernel.core.clock import Clock
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/victims.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/victims.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from pollenkeel_jobs.core.model import Demand, Task
+from pollenkeel_jobs.core.model import Task
+from pollenkeel_jobs.core.specs import Demand
 
 #: Cores that count as much as one accelerator.
 _CORES_PER_ACCELERATOR = 8.0
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/vms.py
@@ -9,7 +9,8 @@
 import attrs
 
 from pollenkeel_jobs.core.messages import TaskProfile
-from pollenkeel_jobs.core.model import Demand, Task
+from pollenkeel_jobs.core.model import Task
+from pollenkeel_jobs.core.specs import Demand
 from pollenkeel_jobs.core.trials import Trial
 
 #: Seconds after the last report with run lists for which a VM gets new tasks.
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/waiting.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/waiting.py
@@ -8,7 +8,8 @@
 
 import attrs
 
-from pollenkeel_jobs.core.model import Demand, Task
+from pollenkeel_jobs.core.model import Task
+from pollenkeel_jobs.core.specs import Demand
 
 
 @attrs.frozen(cache_hash=True)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker.py
@@ -8,7 +8,7 @@
 from result import Result
 
 from pollenkeel_jobs.core.messages import EndedTask, RunningTask, StartOrder
-from pollenkeel_jobs.core.model import Demand
+from pollenkeel_jobs.core.specs import Demand
 
 
 @attrs.frozen
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
@@ -25,8 +25,8 @@
     WorkerCrash,
 )
 from pollenkeel_jobs.core.metrics import ANNOUNCEMENTS
-from pollenkeel_jobs.core.model import Demand
 from pollenkeel_jobs.core.pacing import PaceController
+from pollenkeel_jobs.core.specs import Demand
 from pollenkeel_jobs.core.start_history import StartHistory
 from pollenkeel_jobs.core.worker import Worker, WorkerAnnouncement, WorkerOrder
 from pollenkeel_kernel.core.clock import Clock
--- a/packages/pollenkeel-jobs/tests/agent_doubles.py
+++ b/packages/pollenkeel-jobs/tests/agent_doubles.py
@@ -5,7 +5,7 @@
 
 from pollenkeel_jobs.core.agent import VmAgent
 from pollenkeel_jobs.core.messages import StartOrder, StopOrder, TaskProfile, VmOrders
-from pollenkeel_jobs.core.model import Demand
+from pollenkeel_jobs.core.specs import Demand
 from pollenkeel_jobs.core.worker import (
     Worker,
     WorkerAnnouncement,
--- a/packages/pollenkeel-jobs/tests/core/test_advised_steps.py
+++ b/packages/pollenkeel-jobs/tests/core/test_advised_steps.py
@@ -3,7 +3,7 @@
 from jobs_doubles import Site, make_job
 
 from pollenkeel_jobs.core.advice import Advice
-from pollenkeel_jobs.core.model import Demand, StepSpec
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 
 def test_advised_step_starts_only_with_a_ticket(clock):
--- a/packages/pollenkeel-jobs/tests/core/test_announcements.py
+++ b/packages/pollenkeel-jobs/tests/core/test_announcements.py
@@ -6,7 +6,7 @@
 from result import Err
 
 from pollenkeel_jobs.core.messages import EndedTask, VmReportReply
-from pollenkeel_jobs.core.model import Demand
+from pollenkeel_jobs.core.specs import Demand
 from pollenkeel_jobs.core.worker import WorkerFailure, WorkerLists
 
 
--- a/packages/pollenkeel-jobs/tests/core/test_candidates.py
+++ b/packages/pollenkeel-jobs/tests/core/test_candidates.py
@@ -9,8 +9,9 @@
 from pollenkeel_jobs.core.candidates import Candidates
 from pollenkeel_jobs.core.gangs import choose_for_gang
 from pollenkeel_jobs.core.interference_model import InterferenceModel
-from pollenkeel_jobs.core.model import Demand, Job, StepSpec
+from pollenkeel_jobs.core.model import Job
 from pollenkeel_jobs.core.placement import LeastLoaded
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 from pollenkeel_jobs.core.vms import Vm
 
 NOW = 1_700_000_000.0
--- a/packages/pollenkeel-jobs/tests/core/test_crash_suspects.py
+++ b/packages/pollenkeel-jobs/tests/core/test_crash_suspects.py
@@ -5,7 +5,8 @@
 from jobs_doubles import Site, make_job
 
 from pollenkeel_jobs.core.messages import RunKey, WorkerCrash
-from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
+from pollenkeel_jobs.core.model import JobStatus
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 #: Starts of a task that crashes each worker, as promised to the operators.
 MAX_STARTS = 5
--- a/packages/pollenkeel-jobs/tests/core/test_explanation.py
+++ b/packages/pollenkeel-jobs/tests/core/test_explanation.py
@@ -10,8 +10,8 @@
 from pollenkeel_jobs.core.entry import Entry, NodeSettings
 from pollenkeel_jobs.core.explanation import MAX_STEPS, MAX_TASKS
 from pollenkeel_jobs.core.leadership import LeaseRecord
-from pollenkeel_jobs.core.model import Demand, StepSpec
 from pollenkeel_jobs.core.operations import OperationsFeed
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 from pollenkeel_kernel.core.codes import Code
 
 TASK = StepSpec(1, Demand(1000, 100), 1.0)
--- a/packages/pollenkeel-jobs/tests/core/test_first_runs.py
+++ b/packages/pollenkeel-jobs/tests/core/test_first_runs.py
@@ -5,7 +5,7 @@
 import pytest
 from jobs_doubles import Site, make_job
 
-from pollenkeel_jobs.core.model import Demand, StepSpec
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 from pollenkeel_standins.shared_load import LoadSettings
 from pollenkeel_standins.shared_vms import SharedFleet
 
--- a/packages/pollenkeel-jobs/tests/core/test_gangs.py
+++ b/packages/pollenkeel-jobs/tests/core/test_gangs.py
@@ -4,8 +4,9 @@
 import msgpack
 from jobs_doubles import Site, VmDouble, make_job
 
-from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec, TaskState
+from pollenkeel_jobs.core.model import JobStatus, TaskState
 from pollenkeel_jobs.core.records import encode_job
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 GANG = StepSpec(3, Demand(1000, 100), gang=True)
 
--- a/packages/pollenkeel-jobs/tests/core/test_hopeless_jobs.py
+++ b/packages/pollenkeel-jobs/tests/core/test_hopeless_jobs.py
@@ -3,7 +3,8 @@
 import pytest
 from jobs_doubles import Site, make_job
 
-from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
+from pollenkeel_jobs.core.model import JobStatus
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 STEP = StepSpec(1, Demand(1000, 1000), 1.0)
 
--- a/packages/pollenkeel-jobs/tests/core/test_idle_jobs.py
+++ b/packages/pollenkeel-jobs/tests/core/test_idle_jobs.py
@@ -5,7 +5,7 @@
 from jobs_doubles import Site, make_job
 
 from pollenkeel_jobs.core.metrics import IDLE_JOBS, LONGEST_IDLE_SECONDS
-from pollenkeel_jobs.core.model import Demand, StepSpec
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 STEP = StepSpec(2, Demand(3000, 1000), 60.0)
 
--- a/packages/pollenkeel-jobs/tests/core/test_incarnations.py
+++ b/packages/pollenkeel-jobs/tests/core/test_incarnations.py
@@ -4,8 +4,8 @@
 from jobs_doubles import Site, make_job
 
 from pollenkeel_jobs.core.messages import OrderOutcome, RunningTask
-from pollenkeel_jobs.core.model import Demand, StepSpec
 from pollenkeel_jobs.core.report_log import MAX_LISTED_ENDS
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 TASK, SECOND_TASK = "j1.0.0.0", "j2.0.0.0"
 
--- a/packages/pollenkeel-jobs/tests/core/test_job_metrics.py
+++ b/packages/pollenkeel-jobs/tests/core/test_job_metrics.py
@@ -5,8 +5,8 @@
 
 from pollenkeel_jobs.core.messages import RunningTask, TaskProfile
 from pollenkeel_jobs.core.metrics import JOB_OBJECTIVE_RATIO, JOBS_ENDED
-from pollenkeel_jobs.core.model import Demand, StepSpec
 from pollenkeel_jobs.core.pacing import PaceController
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 
 def late_jobs(queue):
--- a/packages/pollenkeel-jobs/tests/core/test_late_ends.py
+++ b/packages/pollenkeel-jobs/tests/core/test_late_ends.py
@@ -6,10 +6,10 @@
 
 from pollenkeel_jobs.core.fleet import WORKER_LEASE
 from pollenkeel_jobs.core.messages import EndedTask, OrderOutcome
-from pollenkeel_jobs.core.model import Demand, StepSpec
 from pollenkeel_jobs.core.names import PROGRESS
 from pollenkeel_jobs.core.records import encode_job
 from pollenkeel_jobs.core.report_log import MAX_LISTED_ENDS
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 TASK = "j1.0.0.0"
 
--- a/packages/pollenkeel-jobs/tests/core/test_leader_changes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leader_changes.py
@@ -9,7 +9,7 @@
 from jobs_doubles import Site, make_job, succeed
 
 from pollenkeel_jobs.core.messages import RunKey
-from pollenkeel_jobs.core.model import Demand, StepSpec
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 TASK = "j1.0.0.0"
 #: Crashes at once after its start after which a task is given up.
--- a/packages/pollenkeel-jobs/tests/core/test_odd_rows.py
+++ b/packages/pollenkeel-jobs/tests/core/test_odd_rows.py
@@ -13,7 +13,6 @@
 from pollenkeel_jobs.core.leader import Term
 from pollenkeel_jobs.core.leadership import TAKEOVER_SECONDS, Leadership
 from pollenkeel_jobs.core.messages import JobQuery
-from pollenkeel_jobs.core.model import Demand
 from pollenkeel_jobs.core.names import (
     LEADER,
     LEADER_KEY,
@@ -22,6 +21,7 @@
     MEMBERS,
 )
 from pollenkeel_jobs.core.records import encode_job
+from pollenkeel_jobs.core.specs import Demand
 from pollenkeel_jobs.core.tables import RowWrite, Transaction
 from pollenkeel_jobs.core.worker import WorkerAnnouncement, WorkerFailure
 from pollenkeel_standins.processes import wait_until
--- a/packages/pollenkeel-jobs/tests/core/test_order_sender.py
+++ b/packages/pollenkeel-jobs/tests/core/test_order_sender.py
@@ -8,8 +8,8 @@
 from result import Err, Ok
 
 from pollenkeel_jobs.core.messages import VmOrdersReply
-from pollenkeel_jobs.core.model import Demand, StepSpec
 from pollenkeel_jobs.core.order_sender import VmOrderSender
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.refusal import Refusal
 from pollenkeel_standins.processes import wait_until
--- a/packages/pollenkeel-jobs/tests/core/test_placement_interference.py
+++ b/packages/pollenkeel-jobs/tests/core/test_placement_interference.py
@@ -4,7 +4,7 @@
 import msgpack
 from jobs_doubles import Site, make_job
 
-from pollenkeel_jobs.core.model import Demand, StepSpec
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 
 def test_interfering_tasks_are_not_all_placed_on_one_vm_in_one_pass(clock):
--- a/packages/pollenkeel-jobs/tests/core/test_placement_limits.py
+++ b/packages/pollenkeel-jobs/tests/core/test_placement_limits.py
@@ -5,7 +5,7 @@
 
 from pollenkeel_jobs.core.fleet import WORKER_LEASE
 from pollenkeel_jobs.core.messages import RunningTask, VmReport
-from pollenkeel_jobs.core.model import Demand, StepSpec
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 
 def test_vm_never_gets_more_than_its_capacity(clock):
--- a/packages/pollenkeel-jobs/tests/core/test_preemption.py
+++ b/packages/pollenkeel-jobs/tests/core/test_preemption.py
@@ -9,10 +9,11 @@
 
 from pollenkeel_jobs.core.advice import Advice, TicketCache
 from pollenkeel_jobs.core.interference_model import InterferenceModel
-from pollenkeel_jobs.core.model import Demand, Job, StepSpec
+from pollenkeel_jobs.core.model import Job
 from pollenkeel_jobs.core.placement import LeastLoaded
 from pollenkeel_jobs.core.preemption import Preemption
 from pollenkeel_jobs.core.reservations import Reservations
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 from pollenkeel_jobs.core.victims import Stoppable, choose_victims, estimate_loss
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_jobs.core.waiting import WaitingTasks
--- a/packages/pollenkeel-jobs/tests/core/test_progress_rows.py
+++ b/packages/pollenkeel-jobs/tests/core/test_progress_rows.py
@@ -9,11 +9,9 @@
 
 from pollenkeel_jobs.core.model import (
     TASK_WINDOW,
-    Demand,
     Job,
     JobState,
     JobStatus,
-    StepSpec,
     TaskState,
 )
 from pollenkeel_jobs.core.names import LEADER_PARTITION, PROGRESS
@@ -33,6 +31,7 @@
     encode_progress,
 )
 from pollenkeel_jobs.core.scheduler import Scheduler
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 from pollenkeel_jobs.core.tables import Row, Transaction
 from pollenkeel_kernel import Code
 
--- a/packages/pollenkeel-jobs/tests/core/test_records.py
+++ b/packages/pollenkeel-jobs/tests/core/test_records.py
@@ -4,7 +4,7 @@
 import pytest
 from jobs_doubles import make_job
 
-from pollenkeel_jobs.core.model import Demand, Job, JobStatus, StepSpec, TaskState
+from pollenkeel_jobs.core.model import Job, JobStatus, TaskState
 from pollenkeel_jobs.core.records import (
     RecordError,
     apply_progress,
@@ -13,6 +13,7 @@
     encode_job,
     encode_progress,
 )
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 STEP = StepSpec(
     3,
--- a/packages/pollenkeel-jobs/tests/core/test_scheduler.py
+++ b/packages/pollenkeel-jobs/tests/core/test_scheduler.py
@@ -6,8 +6,9 @@
 from pollenkeel_jobs.core.fleet import WORKER_LEASE
 from pollenkeel_jobs.core.job_table import JobTable
 from pollenkeel_jobs.core.messages import OrderOutcome
-from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
+from pollenkeel_jobs.core.model import JobStatus
 from pollenkeel_jobs.core.names import PROGRESS
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 
 def test_nothing_is_sent_before_the_placement_is_recorded(site):
--- a/packages/pollenkeel-jobs/tests/core/test_shrinking_capacity.py
+++ b/packages/pollenkeel-jobs/tests/core/test_shrinking_capacity.py
@@ -5,7 +5,7 @@
 import pytest
 from jobs_doubles import Site, make_job
 
-from pollenkeel_jobs.core.model import Demand, StepSpec
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 
 def test_start_is_not_sent_after_the_capacity_has_shrunk(clock):
--- a/packages/pollenkeel-jobs/tests/core/test_stalls.py
+++ b/packages/pollenkeel-jobs/tests/core/test_stalls.py
@@ -6,7 +6,7 @@
 import pytest
 from jobs_doubles import Site, make_job
 
-from pollenkeel_jobs.core.model import Demand, StepSpec
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 #: Seconds between two reports.
 REPORT_SECONDS = 0.5
--- a/packages/pollenkeel-jobs/tests/core/test_take_over.py
+++ b/packages/pollenkeel-jobs/tests/core/test_take_over.py
@@ -5,10 +5,11 @@
 
 from pollenkeel_jobs.core.fleet import WORKER_LEASE
 from pollenkeel_jobs.core.interference_model import InterferenceModel
-from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
+from pollenkeel_jobs.core.model import JobStatus
 from pollenkeel_jobs.core.names import PROGRESS
 from pollenkeel_jobs.core.records import encode_job
 from pollenkeel_jobs.core.scheduler import Scheduler
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 from pollenkeel_kernel.core.clock import ManualClock
 
 
--- a/packages/pollenkeel-jobs/tests/core/test_tickets.py
+++ b/packages/pollenkeel-jobs/tests/core/test_tickets.py
@@ -5,7 +5,7 @@
 
 from pollenkeel_jobs.core.advice import Advice
 from pollenkeel_jobs.core.messages import OrderOutcome
-from pollenkeel_jobs.core.model import Demand, StepSpec
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 STEPS = (StepSpec(1, Demand(100, 100)),)
 
--- a/packages/pollenkeel-jobs/tests/core/test_waiting.py
+++ b/packages/pollenkeel-jobs/tests/core/test_waiting.py
@@ -12,11 +12,11 @@
 from pollenkeel_jobs.core.idle_jobs import IdleJobs
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
-from pollenkeel_jobs.core.model import Demand, StepSpec
 from pollenkeel_jobs.core.placement import LABEL, SERVICE, LeastLoaded
 from pollenkeel_jobs.core.placement_log import WaitLog
 from pollenkeel_jobs.core.ready_queue import ReadyQueue
 from pollenkeel_jobs.core.reservations import Reservations
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 from pollenkeel_jobs.core.trials import is_tried_apart, may_join_any_group
 from pollenkeel_jobs.core.vms import Vm
 
--- a/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
@@ -8,9 +8,10 @@
 from jobs_doubles import Site, make_job
 
 from pollenkeel_jobs.core.messages import EndedTask, RunKey, RunningTask, WorkerCrash
-from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
+from pollenkeel_jobs.core.model import JobStatus
 from pollenkeel_jobs.core.names import PROGRESS
 from pollenkeel_jobs.core.records import encode_job
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 from pollenkeel_jobs.core.worker import WorkerLists
 
 #: Starts of a task that crashes each worker, as promised to the operators: three
--- a/packages/pollenkeel-jobs/tests/crash_play.py
+++ b/packages/pollenkeel-jobs/tests/crash_play.py
@@ -6,7 +6,8 @@
 from jobs_doubles import Site, make_job
 
 from pollenkeel_jobs.core.messages import RunKey, WorkerCrash
-from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
+from pollenkeel_jobs.core.model import JobStatus
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 from pollenkeel_jobs.core.start_history import StartHistory
 
 #: Length of a step of the play and time between two lists of a worker, in seconds.
--- a/packages/pollenkeel-jobs/tests/jobs_doubles.py
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -15,11 +15,11 @@
     VmReport,
     WorkerCrash,
 )
-from pollenkeel_jobs.core.model import Demand, JobSpec, QueuePolicy, StepSpec
 from pollenkeel_jobs.core.names import PROGRESS
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.records import encode_job
 from pollenkeel_jobs.core.scheduler import Scheduler
+from pollenkeel_jobs.core.specs import Demand, JobSpec, QueuePolicy, StepSpec
 from pollenkeel_jobs.core.tables import Failure, FailureKind, Page, Row, TableService
 from pollenkeel_kernel.core.clock import ManualClock
 
--- a/packages/pollenkeel-jobs/tests/test_model.py
+++ b/packages/pollenkeel-jobs/tests/test_model.py
@@ -19,7 +19,7 @@
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.leadership import Leadership, LeadershipLost
 from pollenkeel_jobs.core.messages import EndedTask, RunningTask, VmReport
-from pollenkeel_jobs.core.model import Demand, JobStatus, StepSpec
+from pollenkeel_jobs.core.model import JobStatus
 from pollenkeel_jobs.core.names import (
     JOBS,
     LEADER_PARTITION,
@@ -30,6 +30,7 @@
 from pollenkeel_jobs.core.progress_rows import join_progress_rows
 from pollenkeel_jobs.core.records import encode_job
 from pollenkeel_jobs.core.scheduler import Scheduler
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 from pollenkeel_jobs.core.tables import RowWrite, Transaction
 from pollenkeel_kernel.core.clock import ManualClock
 from pollenkeel_standins.runner_model import RunnerModel
--- a/standins/pollenkeel_standins/shared_vms.py
+++ b/standins/pollenkeel_standins/shared_vms.py
@@ -28,13 +28,13 @@
     TaskProfile,
     VmReport,
 )
-from pollenkeel_jobs.core.model import Demand, JobSpec, QueuePolicy, StepSpec
 from pollenkeel_jobs.core.names import PROGRESS
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.pacing import PaceController
 from pollenkeel_jobs.core.progress_rows import join_progress_rows
 from pollenkeel_jobs.core.records import encode_job
 from pollenkeel_jobs.core.scheduler import Scheduler
+from pollenkeel_jobs.core.specs import Demand, JobSpec, QueuePolicy, StepSpec
 from pollenkeel_jobs.core.tables import Row
 from pollenkeel_kernel.core.clock import ManualClock
 from pollenkeel_standins.shared_load import Interference, JobResult, LoadSettings
--- a/tests/contracts/test_explain_job.py
+++ b/tests/contracts/test_explain_job.py
@@ -9,7 +9,7 @@
 from result import Err, Ok
 
 from pollenkeel_cli.main import main
-from pollenkeel_jobs.core.model import Demand, StepSpec
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 from pollenkeel_kernel.core.clock import ManualClock
 from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.dump import StateDump
--- a/tests/contracts/test_large_jobs.py
+++ b/tests/contracts/test_large_jobs.py
@@ -14,7 +14,7 @@
 from pollenkeel_jobs.core.leader import Term
 from pollenkeel_jobs.core.leadership import TAKEOVER_SECONDS, Leadership
 from pollenkeel_jobs.core.messages import EndedTask, JobNotice
-from pollenkeel_jobs.core.model import TASK_WINDOW, Demand, JobStatus, StepSpec
+from pollenkeel_jobs.core.model import TASK_WINDOW, JobStatus
 from pollenkeel_jobs.core.names import (
     CANCELS,
     JOBS,
@@ -24,6 +24,7 @@
 )
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.records import encode_job
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 from pollenkeel_jobs.core.tables import RowWrite, Transaction
 from pollenkeel_kernel.core.clock import ManualClock
 from pollenkeel_platform.store import PlatformTables
