Move start orders and their results out of the scheduler

Which planned starts still apply, what an order says and what a refusal means stand in start_orders.py; the scheduler holds its lock around them as before.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -23,7 +23,6 @@
 from pollenkeel_jobs.core.messages import (
     InterferingPair,
     OrderOutcome,
-    StartOrder,
     VmReport,
     VmReportReply,
 )
@@ -51,21 +50,16 @@
 from pollenkeel_jobs.core.reports import ReportProcessor
 from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.run_control import RunControl
-from pollenkeel_jobs.core.specs import Demand, JobSpec
+from pollenkeel_jobs.core.specs import JobSpec
+from pollenkeel_jobs.core.start_orders import StartOrders
 from pollenkeel_jobs.core.tables import RowWrite
-from pollenkeel_jobs.core.vms import Vm, make_profile
+from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.logs import log_change
 
 logger = logbook.Logger("scheduler")
 
-#: Seconds after its order, or after the agent's word that it has started, at which a
-#: run that the worker does not list is revoked.
-_UNLISTED_RUN_SECONDS = 1.5
-#: Seconds after a refused start during which other VMs are preferred. Until the next
-#: report of the VM it would be chosen again and again, as it has room.
-_REFUSAL_SECONDS = 0.5
 #: Seconds between two searches for tasks to migrate.
 _MIGRATION_INTERVAL = 0.4
 #: Seconds between two writes of the learned interference weights.
@@ -124,6 +118,9 @@
         self._control = RunControl(
             self._jobs, self._fleet, self._tickets, clock, self.wake
         )
+        self._orders = StartOrders(
+            self._control, self._jobs, self._fleet, self._tickets, clock
+        )
         self._reports = ReportProcessor(
             epoch, self._control, self._jobs, self._fleet, interference, self.wake
         )
@@ -329,79 +326,22 @@
                 self._interference.pairs(vm.serving_images, vm.best_effort_images)
             )
 
-    # Results of orders.
+    # Start orders.
 
     def process_outcomes(self, vm: Vm, outcomes: Iterable[OrderOutcome]) -> None:
         """Process an agent's replies to start orders."""
         with self._lock:
-            for outcome in outcomes:
-                task = vm.tasks_by_id.get(outcome.task_id)
-                if task is None or task.run != outcome.run:
-                    continue
-                if outcome.outcome == "refused":
-                    log_change(
-                        logger,
-                        "start refused",
-                        task=task.task_id,
-                        vm=vm.name,
-                        run=task.run,
-                        reason=outcome.reason,
-                    )
-                    now = self._clock.now()
-                    if outcome.reason == "ticket":
-                        self._tickets.drop(task, vm)
-                    vm.avoided_until = max(vm.avoided_until, now + _REFUSAL_SECONDS)
-                    self._control.requeue(task, f"refused: {outcome.reason}")
-                elif outcome.outcome == "started":
-                    task.listed_by = self._clock.now() + _UNLISTED_RUN_SECONDS
-                    self._jobs.mark_started(task.job)
+            self._orders.process_outcomes(vm, outcomes)
 
     def drop_orders(self, vm: Vm, starts: Iterable[PlannedStart]) -> None:
         """Requeue tasks whose start orders were not sent."""
         with self._lock:
-            for start in starts:
-                task = start.task
-                placed = vm.tasks_by_id.get(task.task_id) is task
-                if placed and task.run == start.run and not task.sent:
-                    self._control.requeue(task, "order not sent")
+            self._orders.drop(vm, starts)
 
     def make_starts(self, vm: Vm, starts: Iterable[PlannedStart]) -> PreparedStarts:
         """Return the start orders that still apply, and mark them as sent."""
         with self._lock:
-            prepared = PreparedStarts(vm.incarnation, vm.lease_until)
-            for start in starts:
-                task = start.task
-                if not self._is_start_valid(vm, start):
-                    continue
-                task.sent = True
-                task.order_deadline = prepared.deadline
-                task.listed_by = self._clock.now() + _UNLISTED_RUN_SECONDS
-                profile = make_profile(task)
-                prepared.orders.append(
-                    StartOrder(
-                        task.task_id, task.run, profile, start.checkpoint, task.ticket
-                    )
-                )
-                spec = task.job.spec
-                prepared.payloads_by_job[spec.job_id] = spec.payload
-            return prepared
-
-    def _is_start_valid(self, vm: Vm, start: PlannedStart) -> bool:
-        """Return whether a planned start still applies and may be sent now.
-
-        The capacity of the VM may have shrunk below what is placed on it.
-        """
-        task = start.task
-        return (
-            vm.tasks_by_id.get(task.task_id) is task
-            and task.run == start.run
-            and not task.sent
-            and not task.job.status.final
-            and not vm.draining
-            and not vm.starting
-            and self._fleet.is_open(vm.zone)
-            and vm.has_room_for(Demand())
-        )
+            return self._orders.prepare(vm, starts)
 
     # Passes.
 
