Give first runs to any best-effort step of an idle job

Cause: of each idle job one waiting task was remembered, the last one. Where this task fits on no VM (too large, or a label that no VM has), the first run was tried with it in every pass, and a task of another step, for which there was room, was never tried.

Change: one waiting task of each best-effort step of an idle job is remembered. Once one of them is placed, the job is not idle, so there is still one first run a job. Those that found no VM come last in the next pass, as before.

Ruled out: the tasks of one step. They have the same demand, label and image.

The tests of first runs and idle jobs pass.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/first_runs.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/first_runs.py
@@ -23,7 +23,7 @@
 
 
 class FirstRuns:
-    """Chooses one waiting best-effort task of each job that has had no run for long.
+    """Chooses a waiting best-effort task of each job that has had no run for long.
 
     A long-running task needs a run of its own, whether others of its job run or not.
 
@@ -75,9 +75,9 @@
     def _list_idle(self, waiting: WaitingTasks) -> Iterator[tuple[Task, float]]:
         """Yield the tasks that may get a first run, and since when they are idle."""
         since_by_job = self._idle_jobs.since_by_job
-        for job, task in self._idle_jobs.best_effort_task_by_job.items():
+        for task in self._idle_jobs.best_effort_tasks:
             if task in waiting:
-                yield task, since_by_job[job]
+                yield task, since_by_job[task.job]
         for task in waiting.long_running:
             if task.step.fills:
                 yield task, task.ready_at
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/idle_jobs.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/idle_jobs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Set
+from collections.abc import Collection, Iterable, Set
 
 import logbook
 
@@ -28,13 +28,14 @@
     since_by_job : dict of Job to float
         Time of the first update that found the job idle, in seconds since the Unix
         epoch.
-    best_effort_task_by_job : dict of Job to Task
-        One task of each idle job that has a waiting best-effort task.
+    best_effort_tasks : collection of Task
+        One waiting task of each best-effort step of the idle jobs. Where the task of
+        one step fits nowhere, that of another may.
     """
 
     def __init__(self) -> None:
         self.since_by_job: dict[Job, float] = {}
-        self.best_effort_task_by_job: dict[Job, Task] = {}
+        self.best_effort_tasks: Collection[Task] = ()
         self._next_line_at = 0.0
 
     def update(self, waiting: Iterable[Task], busy: Set[Job], now: float) -> None:
@@ -53,9 +54,9 @@
         self.since_by_job = {
             task.job: self.since_by_job.get(task.job, now) for task in idle
         }
-        self.best_effort_task_by_job = {
-            task.job: task for task in idle if task.step.fills
-        }
+        self.best_effort_tasks = {
+            (task.job, task.key.step): task for task in idle if task.step.fills
+        }.values()
         longest = max((now - at for at in self.since_by_job.values()), default=0.0)
         IDLE_JOBS.set(len(self.since_by_job))
         LONGEST_IDLE_SECONDS.set(longest)
--- a/packages/pollenkeel-jobs/tests/core/test_first_runs.py
+++ b/packages/pollenkeel-jobs/tests/core/test_first_runs.py
@@ -152,6 +152,23 @@
     assert shared_site.pass_seconds(6.0)["suspect"] < MAX_IDLE_SECONDS
 
 
+@pytest.mark.parametrize(
+    "unfit",
+    [
+        attrs.evolve(FILLING, demand=Demand(7000, 10**9)),
+        attrs.evolve(FILLING, label="nowhere"),
+    ],
+    ids=["memory", "label"],
+)
+def test_task_that_fits_nowhere_keeps_no_other_step_of_its_job_waiting(
+    shared_site, unfit
+):
+    """Guards against a job without a run of which only an unplaceable step is tried."""
+    shared_site.scheduler.add_job(make_job("mixed", (FILLING, unfit)))
+    shared_site.pass_seconds(MAX_IDLE_SECONDS)
+    assert "mixed.0.0.0" in shared_site.running
+
+
 def test_long_running_task_gets_a_run_although_others_of_its_job_run(shared_site):
     """Guards against a long-running best-effort task that waits without a bound."""
     lasting = attrs.evolve(FILLING, count=3, long_running=True)
