Request tickets for the VMs on which a first run has room

What callers would see: an accepted best-effort job of an advised queue without any run until its tickets expire (LOST), while most of the room is free.

Cause: further tickets are requested only after a failed search under all limits, and only for VMs that these limits allow. Where throttled runs close all VMs, that is none. A first run is free of these limits, but needs a ticket too: one whose tickets are for VMs without memory found no VM, and no others were requested. A request names at most 30 workers, so this takes a larger service.

Change: a first run that finds no VM requests tickets for the VMs that its own policy allows. The interval between two requests of a step holds as before.

Evidence: the new test failed before. The tests of tickets, advised steps and first runs pass.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -129,7 +129,7 @@
             else:
                 unplaceable.add(kind, task)
                 self._record_unplaced(kind, task)
-                self._request_more_tickets(task, vms)
+                self._request_more_tickets(task, vms, self._placement)
 
     def _may_try(self, task: Task, vms: list[Vm]) -> bool:
         """Return whether a suspected task may begin a trial or join one."""
@@ -178,10 +178,13 @@
             if task.crashed_on and not self._may_try(task, vms):
                 continue
             if task.step.gang:
-                yield from self._place_gang(task, vms, placement)
+                placements = self._place_gang(task, vms, placement)
             else:
                 allowed = self._filter_by_ticket(task, vms)
-                yield from _place_task(task, Candidates(task, allowed, placement))
+                placements = _place_task(task, Candidates(task, allowed, placement))
+            if not placements:
+                self._request_more_tickets(task, vms, placement)
+            yield from placements
 
     def _iterate_placeable(
         self, unplaceable: Unplaceable, vms: list[Vm], now: float
@@ -225,7 +228,9 @@
             self._tickets.request_tickets(task, vms)
         return advised
 
-    def _request_more_tickets(self, task: Task, vms: list[Vm]) -> None:
+    def _request_more_tickets(
+        self, task: Task, vms: list[Vm], placement: Placement
+    ) -> None:
         """Request tickets for other VMs if those that a task has are of no use."""
         if not task.job.spec.queue.advised or not self._tickets.may_request(task):
             return
@@ -233,7 +238,7 @@
             vm
             for vm in vms
             if not self._tickets.find(task, vm)
-            and not self._placement.find_obstacle(task, vm)
+            and not placement.find_obstacle(task, vm)
         ]
         if missing:
             self._tickets.request_tickets(task, missing)
--- a/packages/pollenkeel-jobs/tests/core/test_first_runs.py
+++ b/packages/pollenkeel-jobs/tests/core/test_first_runs.py
@@ -5,6 +5,7 @@
 import pytest
 from jobs_doubles import Site, make_job
 
+from pollenkeel_jobs.core.advice import Advice
 from pollenkeel_jobs.core.model import Demand, StepSpec
 from pollenkeel_standins.shared_load import LoadSettings
 from pollenkeel_standins.shared_vms import SharedFleet
@@ -169,6 +170,29 @@
     assert "mixed.0.0.0" in shared_site.running
 
 
+def test_first_run_gets_tickets_for_vms_with_room_once_others_are_full(clock):
+    """Guards against a job without a run until its tickets for full VMs expire."""
+    site = SharedSite(clock, vms=32)
+    for number in range(32):
+        site.scheduler.add_job(make_job(f"early{number}", (FILLING,)))
+    site.pass_seconds(8.0)
+    site.scheduler.add_job(make_job("advised", (FILLING,), advised=True))
+    advice = Advice({"w": "ticket"}, 30.0)
+    site.pass_seconds(PASS_SECONDS)
+    question = site.scheduler.pop_question()
+    asked = {incarnation.partition("/")[0] for incarnation in question.incarnations}
+    for vm in site.vms:
+        if vm.name in asked:
+            vm.capacity = Demand(CORES, 11_000)
+    site.scheduler.store_advice(question, advice, clock.now())
+    for _ in range(round(MAX_IDLE_SECONDS / PASS_SECONDS)):
+        site.pass_seconds(PASS_SECONDS)
+        question = site.scheduler.pop_question()
+        if question is not None:
+            site.scheduler.store_advice(question, advice, clock.now())
+    assert "advised.0.0.0" in site.running
+
+
 def test_long_running_task_gets_a_run_although_others_of_its_job_run(shared_site):
     """Guards against a long-running best-effort task that waits without a bound."""
     lasting = attrs.evolve(FILLING, count=3, long_running=True)
