Answer job queries while the leader loads the jobs

What callers would see: a GET for a job without an answer, or a late one, for as long as a new leader loads the jobs.

Cause: a query asks for the list of unreadable jobs also before the jobs are loaded. That takes the lock of the scheduler, which the load holds while it decodes all jobs and renews the lease meanwhile. Before that list existed, such a query was answered at once and the entry read the state from the table service.

Change: a query before the end of the load is answered as before, without the lock.

Evidence: the new test, which sends a query while a job is decoded, timed out after 5 s before and passes now.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -470,7 +470,10 @@
 
     def _describe_job(self, job_id: str) -> JobQueryReply:
         now = self.clock.now()
-        state = self.scheduler.find_state(job_id) if self._loaded else None
+        if not self._loaded:
+            # The scheduler is locked while it loads the jobs.
+            return JobQueryReply(self.name, now, "")
+        state = self.scheduler.find_state(job_id)
         if state is not None:
             return JobQueryReply(self.name, now, state.status.value, state.failure_code)
         if job_id in self.scheduler.list_unreadable_jobs():
--- a/packages/pollenkeel-jobs/tests/core/test_unreadable_records.py
+++ b/packages/pollenkeel-jobs/tests/core/test_unreadable_records.py
@@ -1,12 +1,14 @@
 """Guards against a job whose record cannot be read and that runs again or vanishes."""
 
 import threading
+from concurrent.futures import ThreadPoolExecutor
 
 import msgpack
 import pytest
 from jobs_doubles import make_job
 from result import Ok
 
+from pollenkeel_jobs.core import job_table
 from pollenkeel_jobs.core.gateway import Gateway
 from pollenkeel_jobs.core.leader import Term
 from pollenkeel_jobs.core.leadership import Leadership, LeadershipLost
@@ -20,7 +22,7 @@
     PROGRESS,
     get_intake_partition,
 )
-from pollenkeel_jobs.core.records import encode_job, encode_progress
+from pollenkeel_jobs.core.records import decode_job, encode_job, encode_progress
 from pollenkeel_jobs.core.tables import RowWrite, Transaction
 from pollenkeel_kernel import Code
 
@@ -153,3 +155,22 @@
     successor = begin_term(tables, clock)
     assert successor.scheduler.find_status("odd") is status
     assert UNREADABLE_JOBS._value.get() == 0
+
+
+def test_query_is_answered_while_jobs_are_loaded(tables, clock, monkeypatch):
+    """Guards against clients without an answer for as long as a leader loads jobs."""
+    write(tables, JOBS, "good", encode_job(make_job("good")))
+    leadership = Leadership("entry-1", "tcp://nowhere", tables, clock)
+    assert leadership.observe(lambda leader: True)
+    term = Term("entry-1", "tcp://nowhere", leadership, tables, clock, None)
+    replies = []
+
+    def decode_after_query(row):
+        query = JobQuery("entry-2", 0.0, "good")
+        replies.append(pool.submit(term.handle, query).result(5.0).status)
+        return decode_job(row)
+
+    monkeypatch.setattr(job_table, "decode_job", decode_after_query)
+    with ThreadPoolExecutor(1) as pool:
+        term._load(threading.Event())
+    assert replies == [""]
