Keep a row under the key of another job from ending each term

What operators would see: a leader that resigns every 10 s, as long as one row of the job table holds the record of another job than its key says. Found in a review; not seen.

Cause: a leader takes a job for unreadable if no job with the key of its row was loaded. The check for a repair only asked whether the row can be decoded. Such a row can, so each term ended, and the next one found the job unreadable again.

Change: the record of another job does not count as a repair.

Evidence: the new test failed before: the check took such a row for repaired.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/unreadable.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/unreadable.py
@@ -64,6 +64,8 @@
         return True
     try:
         job = Job(decode_job(stored.value))
+        if job.spec.job_id != job_id:
+            return False
         value = join_progress_rows(progress.ok_value.rows).get(job_id)
         if value is not None:
             apply_progress(job, value)
--- a/packages/pollenkeel-jobs/tests/core/test_unreadable_records.py
+++ b/packages/pollenkeel-jobs/tests/core/test_unreadable_records.py
@@ -174,3 +174,9 @@
     with ThreadPoolExecutor(1) as pool:
         term._load(threading.Event())
     assert replies == [""]
+
+
+def test_row_under_the_key_of_another_job_does_not_end_each_term(tables, clock):
+    """Guards against a leader that resigns every few seconds because of one row."""
+    write(tables, JOBS, "odd", encode_job(make_job("another")))
+    assert not begin_term(tables, clock)._is_any_repaired()
