Stop deleting old jobs after a failure until the next time

What callers would see: a leader that is lost while one partition of the table service does not answer, and no start meanwhile.

Cause: the rows of old jobs are deleted one job after the other between two passes. A deletion without an answer takes 1 s, and the lease of 2 s is renewed only by one that succeeds. Since failed deletions are tried again, this recurs every 10 s, with all jobs whose rows remain.

Change: the first failure ends the deletions until the next time. Jobs with a failed deletion come last, so that one of them holds up no other.

Evidence: the new test, with 20 old jobs and intake partitions that do not answer, failed before: the lease had lapsed. The other tests of test_leader.py pass before and after.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -283,13 +283,15 @@
         if now < self._next_cleanup_at:
             return
         self._next_cleanup_at = now + _CLEANUP_INTERVAL
-        for job_id in self.scheduler.forget_old_jobs():
-            if self._delete_job(job_id):
-                self._failed_deletions.discard(job_id)
-                self.scheduler.confirm_deletion(job_id)
-            else:
+        old = self.scheduler.forget_old_jobs()
+        for job_id in sorted(old, key=self._failed_deletions.__contains__):
+            if not self._delete_job(job_id):
                 self._failed_deletions.add(job_id)
                 logger.warning("rows of old job not deleted", extra={"job": job_id})
+                # More failures in a row could take longer than the lease lasts.
+                return
+            self._failed_deletions.discard(job_id)
+            self.scheduler.confirm_deletion(job_id)
 
     def _delete_job(self, job_id: str) -> bool:
         """Delete the rows of an old job; return False if that has to be tried again.
--- a/packages/pollenkeel-jobs/tests/core/test_leader.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leader.py
@@ -4,6 +4,7 @@
 
 import pytest
 from jobs_doubles import make_job
+from result import Err
 
 from pollenkeel_jobs.core import job_table
 from pollenkeel_jobs.core.leader import Term
@@ -22,7 +23,7 @@
     OperationsFeed,
 )
 from pollenkeel_jobs.core.records import decode_job, encode_job
-from pollenkeel_jobs.core.tables import RowWrite, Transaction
+from pollenkeel_jobs.core.tables import Failure, FailureKind, RowWrite, Transaction
 from pollenkeel_standins.processes import wait_until
 
 
@@ -177,6 +178,35 @@
     assert tables.rows_by_key[LEADER_PARTITION, PROGRESS, "j1"].value is not None
 
 
+def test_lease_is_kept_while_old_jobs_cannot_be_deleted(
+    term, tables, clock, monkeypatch
+):
+    """Guards against a leader that is lost because one partition does not answer."""
+    for number in range(20):
+        job = make_job(f"job-{number}")
+        write = RowWrite(JOBS, job.job_id, encode_job(job))
+        tables.apply(Transaction(get_intake_partition(job.job_id), (), (write,)))
+    term._load(threading.Event())
+    for number in range(20):
+        term.scheduler.cancel_job(f"job-{number}")
+    planned = term.scheduler.plan()
+    term.leadership.commit(planned.writes)
+    term.scheduler.confirm(planned)
+    clock.advance(620.0)
+    term.leadership.renew()
+    transact = tables.transact
+
+    def transact_slowly(transaction, timeout=1.0):
+        if transaction.partition not in INTAKE_PARTITIONS:
+            return transact(transaction, timeout)
+        clock.advance(timeout)
+        return Err(Failure(FailureKind.UNKNOWN))
+
+    monkeypatch.setattr(tables, "transact", transact_slowly)
+    term._delete_old_jobs()
+    assert term.leadership.leads
+
+
 def test_lease_is_kept_while_many_jobs_are_loaded(term, tables, clock, monkeypatch):
     """Guards against leaders that replace each other before any has loaded the jobs."""
     for number in range(40):
