Look once a pass for others that wait beside suspects

What callers would see: late starts of all jobs, as a pass holds the lock of the scheduler for long, while many suspects of a crash wait beside many kinds of demand that have no VM.

Cause: the share of VMs that may be on trial depends on whether other tasks wait for one of them. For each suspect, each kind of demand that found no VM was compared with each VM, also where all of them need another label or service.

Change: each such task is looked at once a pass.

Evidence: the new test failed before.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -71,6 +71,9 @@
     ) -> None:
         # By kind of demand and number of crashes.
         self._unplaced_by_kind: dict[tuple[DemandKind, int], Task] = {}
+        # Unplaced tasks without crashes that ``_do_others_wait`` has not looked at.
+        self._unchecked: list[Task] = []
+        self._others_wait = False
         self._jobs = jobs
         self._tickets = tickets
         self._placement = placement
@@ -101,6 +104,8 @@
         """
         self._placement.now = now
         self._unplaced_by_kind = {}
+        self._unchecked = []
+        self._others_wait = False
         self._reservations.remove_ended(now)
         if not self._jobs.ready:
             return
@@ -140,16 +145,29 @@
 
     def _limit_trials(self, vms: list[Vm]) -> float:
         """Return how many VMs may be on trial: few while other tasks wait for a VM."""
-        others_wait = any(
-            self._placement.find_obstacle(task, vm) not in (SERVICE, LABEL)
-            for (_, crashes), task in self._unplaced_by_kind.items()
-            for vm in vms
-            if not crashes
-        )
-        return max(1.0, _MAX_TRIAL_SHARE * len(vms)) if others_wait else len(vms)
+        if self._do_others_wait(vms):
+            return max(1.0, _MAX_TRIAL_SHARE * len(vms))
+        return len(vms)
+
+    def _do_others_wait(self, vms: list[Vm]) -> bool:
+        """Return whether a task without crashes waits for one of the VMs.
+
+        Each task is looked at once a pass, as its service and its label don't change.
+        """
+        while self._unchecked and not self._others_wait:
+            task = self._unchecked.pop()
+            self._others_wait = any(
+                self._placement.find_obstacle(task, vm) not in (SERVICE, LABEL)
+                for vm in vms
+            )
+        return self._others_wait
 
     def _record_unplaced(self, kind: DemandKind, task: Task) -> None:
-        self._unplaced_by_kind.setdefault((kind, len(task.crashed_on)), task)
+        key = kind, len(task.crashed_on)
+        if key not in self._unplaced_by_kind:
+            self._unplaced_by_kind[key] = task
+            if not task.crashed_on:
+                self._unchecked.append(task)
 
     def _place_reserved(self, vms: list[Vm]) -> Iterator[Placed]:
         """Place the tasks for which there is room now where it was kept for them."""
--- a/packages/pollenkeel-jobs/tests/core/test_waiting.py
+++ b/packages/pollenkeel-jobs/tests/core/test_waiting.py
@@ -29,9 +29,14 @@
 
 
 class CountingPlacement(LeastLoaded):
-    """Counts how often a VM is scored."""
+    """Counts how often a VM is scored, or checked for a task."""
 
     scores = 0
+    searches = 0
+
+    def find_obstacle(self, task, vm):
+        self.searches += 1
+        return super().find_obstacle(task, vm)
 
     def score(self, task, vm):
         self.scores += 1
@@ -255,6 +260,19 @@
     assert queue.placement.scores <= 50 * len(queue.vms)
 
 
+def test_search_for_trials_does_not_grow_with_the_kinds_that_wait(clock):
+    """Guards against slow passes if many suspects wait beside many kinds of demand."""
+    queue = Queue(clock, make_vms(4))
+    for number in range(30):
+        queue.jobs.add(make_job(f"j{number}", (step(1000 + number, label="none"),)))
+    queue.jobs.add(make_job("suspects", (StepSpec(40, Demand(10, 10), 1.0),)))
+    for task in queue.jobs.find("suspects").tasks():
+        task.crashed_on.add("vm-1/w~0")
+        task.suspects = 40
+    assert len(queue.run_pass()) == 40
+    assert queue.placement.searches < 4 * (2 * 30 + 2 * 40)
+
+
 def test_spread_limit_of_one_step_does_not_hold_back_another(clock):
     """Guards against counting the placed tasks of one step against another one."""
     queue = Queue(clock, make_vms(2))
