Let first runs leave a quarter of a VM's memory to other jobs

What callers would see: an ordinary job without a run for as long as throttled first runs hold the memory of all VMs. Found in a review: with 3 VMs and 100 best-effort jobs whose runs are throttled to a twentieth, 84 first runs filled all memory, and a small ordinary job had no run for 20 s; before there were first runs it did not wait.

Change: a VM with over three quarters of its memory in use gets no further first run, except for long-running tasks. A job may then wait for its first run, but not while most room is free.

Evidence: test_first_runs_leave_room_for_jobs_that_come_later failed before; all tests of test_first_runs.py pass.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -54,6 +54,9 @@
 #: Obstacles of a VM that never runs such a task.
 SERVICE = "service"
 LABEL = "label"
+#: Share of a VM's memory in use above which it gets no further first run, except for
+#: long-running tasks. First runs may last long, and would leave no room for other jobs.
+_MAX_FIRST_RUN_MEMORY_SHARE = 0.75
 #: Obstacle of a VM whose free resources are too small.
 NO_ROOM = "room"
 #: Obstacle of a VM on which other tasks are on trial.
@@ -248,15 +251,19 @@
 
 
 class FirstRunPlacement(LeastLoaded):
-    """Places a best-effort task wherever there is memory, on the least loaded VM.
+    """Places a best-effort task on the least loaded VM, whatever its headroom.
 
     The pacing starts the run at the speed that the VM's latency-critical tasks allow,
     so that they keep their headroom even where the limits are exceeded.
     """
 
     def _find_exceeded_limit(self, task: Task, vm: Vm) -> str:
-        """Return an empty string, as the limits are lifted."""
-        return ""
+        """Return "memory" for a VM with much memory in use; other limits are lifted."""
+        if task.step.long_running:
+            return ""
+        used = vm.reserved_demand.memory + vm.unplaced_demand.memory
+        limit = _MAX_FIRST_RUN_MEMORY_SHARE * vm.capacity.memory
+        return "memory" if used > limit else ""
 
 
 def _find_unmet_demand(task: Task, vm: Vm, now: float) -> str:
--- a/packages/pollenkeel-jobs/tests/core/test_first_runs.py
+++ b/packages/pollenkeel-jobs/tests/core/test_first_runs.py
@@ -120,6 +120,17 @@
     assert sum(task_id.startswith("wide") for task_id in shared_site.running) == 1
 
 
+def test_first_runs_leave_room_for_jobs_that_come_later(shared_site):
+    """Guards against throttled first runs that hold the memory of all VMs."""
+    for number in range(100):
+        shared_site.scheduler.add_job(make_job(f"many{number}", (FILLING,)))
+    shared_site.pass_seconds(12.0)
+    ordinary = StepSpec(3, Demand(1000, 50_000), 60.0)
+    shared_site.scheduler.add_job(make_job("ordinary", (ordinary,)))
+    shared_site.pass_seconds(1.0)
+    assert sum(task_id.startswith("ordinary") for task_id in shared_site.running) == 3
+
+
 def test_late_job_gets_a_run_while_timely_ones_keep_coming(shared_site):
     """Guards against a job past its objective that waits as long as others come."""
     now = shared_site.clock.now()
