Use the renamed table of interference in the test of a loss of power

The test could not be collected: it imported HARM and HARM_KEY, which are now INTERFERENCE and INTERFERENCE_KEY. The stored names are the same.

--- a/tests/proofs/test_power_loss.py
+++ b/tests/proofs/test_power_loss.py
@@ -11,7 +11,7 @@
 import msgpack
 import pytest
 
-from pollenkeel_jobs.core.names import HARM, HARM_KEY, LEADER_PARTITION
+from pollenkeel_jobs.core.names import INTERFERENCE, INTERFERENCE_KEY, LEADER_PARTITION
 from pollenkeel_jobs.core.tables import RowWrite, Transaction
 from pollenkeel_platform.store import PlatformTables
 from pollenkeel_standins.job_site import JobSite
@@ -69,7 +69,7 @@
     weights = [(f"filling-{number}", 17.0) for number in range(IMAGES)]
     rows = [(f"serving-{number}", weights) for number in range(IMAGES)]
     store = site.processes_by_name["store"].url.removeprefix("http://")
-    write = RowWrite(HARM, HARM_KEY, msgpack.packb([2, rows]))
+    write = RowWrite(INTERFERENCE, INTERFERENCE_KEY, msgpack.packb([2, rows]))
     written = PlatformTables(store).transact(
         Transaction(LEADER_PARTITION, (), (write,))
     )
