Name the evidence of crashes without figures of speech

Private functions said guilty and clear where they compare a number of crashes with a limit. Docstrings say what is counted and what stays counted. No change of behaviour. Unit tests of crashes, crash suspects and leaders pass.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
@@ -15,12 +15,12 @@
 
 logger = logbook.Logger("scheduler")
 
-#: Number of crashes at once after its start after which a task is given up. Most
-#: suspects of a crash have nothing to do with it, and a worker may crash by chance just
-#: after a start; that one task is hit so often in a row is unlikely.
+#: Number of crashes immediately after its start after which a task is given up. Most
+#: suspects did not cause the crash, and a worker may crash for another reason just
+#: after a start; that this happens to one task so often in a row is unlikely.
 _MAX_CRASHES_AT_ONCE = 4
-#: Number of crashes after which a task is given up in any case. More than five starts
-#: of a task that crashes each worker break a promise to the operators.
+#: Number of crashes after which a task is given up in any case. A task that crashes
+#: each worker may be started at most five times.
 _MAX_CRASHES = 5
 #: Number of crashes from which on a task is suspected of a worker's end that no agent
 #: reports.
@@ -45,7 +45,10 @@
 
 
 def record_own_end(jobs: JobTable, task: Task, run: int) -> None:
-    """Acquit a task of which a run ended by itself, as its worker lived on."""
+    """Drop the crashes of a task after a run that ended by itself.
+
+    Its worker was still alive at that end.
+    """
     if task.sound_run < run:
         _record_sound(jobs, task, run)
 
@@ -81,7 +84,7 @@
         if run in at_once:
             task.crashed_at_once.add(crash.worker)
         jobs.dirty[task.job] = None
-        given_up = _is_guilty(task)
+        given_up = _should_give_up(task)
         log_change(
             logger,
             "task suspected of a crash",
@@ -95,35 +98,35 @@
             given_up=given_up,
         )
         if given_up:
-            _clear_others(jobs, task)
+            _drop_shared_evidence(jobs, task)
             yield task
 
 
 def _is_explained(jobs: JobTable, crash: WorkerCrash) -> bool:
     """Return whether a task that is given up for its crashes was among the suspects."""
     suspects = (jobs.find_task(run.task_id) for run in crash.suspects)
-    return any(task is not None and _is_guilty_at_once(task) for task in suspects)
+    return any(task is not None and _crashes_at_once(task) for task in suspects)
 
 
-def _clear_others(jobs: JobTable, guilty: Task) -> None:
-    """Drop the crashes of a task that is given up from the evidence against others.
+def _drop_shared_evidence(jobs: JobTable, given_up: Task) -> None:
+    """Drop the crashes of a task that is given up from ``crashed_at_once`` of others.
 
-    They still count for ``_MAX_CRASHES``, as several tasks may be guilty.
+    They stay in ``crashed_on``, because several tasks may have caused the same crash.
     """
-    if not _is_guilty_at_once(guilty):
+    if not _crashes_at_once(given_up):
         return
     for task in jobs.iterate_open_tasks():
-        shared = task.crashed_at_once & guilty.crashed_at_once
-        if shared and task is not guilty:
+        shared = task.crashed_at_once & given_up.crashed_at_once
+        if shared and task is not given_up:
             task.crashed_at_once -= shared
             jobs.dirty[task.job] = None
 
 
 def find_unreported_crash(vm: Vm, report: VmReport) -> Iterator[WorkerCrash]:
-    """Yield the end of a worker that its agent does not report, as it was lost as well.
+    """Yield a crash for the end of a worker that its agent does not report.
 
-    Most such ends are a loss of the whole VM. So only the tasks that may be started
-    once or twice more are suspected, for the sake of ``_MAX_CRASHES``.
+    The agent was lost as well; in most cases the whole VM was. Therefore only tasks
+    that are close to ``_MAX_CRASHES`` are suspected.
 
     Parameters
     ----------
@@ -145,12 +148,13 @@
         yield WorkerCrash(ended, suspects, began=False)
 
 
-def _is_guilty(task: Task) -> bool:
+def _should_give_up(task: Task) -> bool:
     """Return whether there is enough evidence that a task crashes its workers."""
-    return _is_guilty_at_once(task) or len(task.crashed_on) >= _MAX_CRASHES
+    return _crashes_at_once(task) or len(task.crashed_on) >= _MAX_CRASHES
 
 
-def _is_guilty_at_once(task: Task) -> bool:
+def _crashes_at_once(task: Task) -> bool:
+    """Return whether enough workers have crashed immediately after a task's starts."""
     return len(task.crashed_at_once) >= _MAX_CRASHES_AT_ONCE
 
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/start_history.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/start_history.py
@@ -22,9 +22,9 @@
 
 @attrs.define
 class _Start:
-    """Times of a start, of the first response to it and of the latest list with it.
+    """Times of a start, of the first response and of the latest list with the run.
 
-    All in seconds; 0 for what has not happened.
+    All are in seconds; 0 if there was no response or no list.
     """
 
     at: float
@@ -33,7 +33,7 @@
 
     @property
     def seconds_listed(self) -> float:
-        """Time for which the worker is known to have carried the run."""
+        """Seconds from the first response to the latest list with the run."""
         return self.listed_at - self.confirmed_at if self.listed_at else 0.0
 
 
@@ -73,7 +73,7 @@
         return all(self._starts_by_run[run].confirmed_at for run in runs)
 
     def find_outlived(self, runs: Iterable[_RunKey]) -> list[_RunKey]:
-        """Return those of the runs after whose start the worker has lived on."""
+        """Return those of the runs after whose start the worker stayed alive."""
         return [
             run
             for run in runs
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/trials.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/trials.py
@@ -8,9 +8,9 @@
 
 from pollenkeel_jobs.core.model import Task, TaskState
 
-#: Seconds for which a worker must list suspects before it gets other tasks. A group is
-#: tried until the second list with it, and a task that is tried alone for longer, as
-#: the evidence against it is stronger.
+#: Seconds for which a worker must list suspects before it gets other tasks. For a
+#: group this is until the second list, and for a task that is tried alone it is longer,
+#: because the evidence against it is stronger.
 _GROUP_SECONDS = 0.3
 _ALONE_SECONDS = 1.0
 #: Number of crashes from which on a suspect is tried alone.
@@ -25,15 +25,16 @@
 class Trial:
     """Suspected tasks that a VM runs before it gets other tasks.
 
-    Most suspects of a crash have nothing to do with it. So they are tried in groups,
-    which get smaller with each crash. The members of a group start at the same time:
-    which of them crashed the worker is not known otherwise.
+    Most suspects did not cause the crash. Therefore they are tried in groups, which get
+    smaller with each crash. The members of a group start at the same time. If
+    one of them crashes the worker, all of them are suspected.
 
-    A suspect of one or two crashes waits for at most ``_MAX_WAIT_SECONDS`` and the
-    present trial, as long as a VM that may be on trial has room for it: then it joins
-    a group of any size. A suspect of three crashes is tried alone. Those of one crash
-    then wait for each other, but there are as many as the cube root of the suspects
-    of the first crash, unless the groups had to be larger for the sake of the wait.
+    A suspect of one or two crashes joins a group of any size after
+    ``_MAX_WAIT_SECONDS``. If a VM that may be on trial has room for it, it waits at
+    most for that time and for the present trial. Suspects of three crashes are tried
+    alone, so those of the same crash wait for each other. Their number is the cube root
+    of the number of suspects of the first crash, unless larger groups were needed to
+    bound the wait.
 
     Attributes
     ----------
@@ -85,7 +86,7 @@
 
 
 def has_waited_for_trial(task: Task, now: float) -> bool:
-    """Return whether a suspect has waited so long that rules are lifted for it."""
+    """Return whether a suspect has waited so long that limits are lifted for it."""
     return is_tried_apart(task) and now - task.ready_at > _MAX_WAIT_SECONDS
 
 
@@ -101,7 +102,7 @@
 def _limit_group(task: Task) -> int:
     """Return how many suspects may be tried together.
 
-    With one guilty task among n suspects of its first crash, groups of n^(2/3) and then
+    With one cause among n suspects of a first crash, groups of n^(2/3) and then
     of n^(1/3), the square root of the group before, need the fewest trials.
     """
     if len(task.crashed_on) == 1:
