--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/advice.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/advice.py
@@ -72,6 +72,8 @@
 
 @attrs.frozen
 class _Ticket:
+    """A ticket, and the time until which it is valid, in seconds of the clock."""
+
     value: str
     valid_until: float
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -152,7 +152,7 @@
         }
 
     def explain(self, job_id: str) -> Result[dict[str, Any], Refusal]:
-        """Return what operators may ask of a job; only the leader knows it."""
+        """Return a description of a job for operators; only the leader has one."""
         term = self._contact.term
         if term is not None and not term.over.is_set():
             return term.explain(job_id)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/explanation.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/explanation.py
@@ -10,8 +10,8 @@
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.codes import Code
 
-#: Maximum number of tasks, and of steps whose obstacles are looked up. The scheduler is
-#: locked meanwhile.
+#: Maximum numbers of described tasks and steps. The scheduler is locked while they and
+#: the obstacles of the steps are collected.
 MAX_TASKS = 100
 MAX_STEPS = 10
 
@@ -89,9 +89,9 @@
 ) -> dict[str, list[str]]:
     """Return what the first waiting task of a step waits for.
 
-    This is either the steps before it, by ``steps``, or the VMs by what keeps the task
-    from them, as in the log line ``step waits``; ``none`` has those that nothing keeps
-    it from.
+    These are either the unfinished steps before it, under ``steps``, or the VMs by
+    their obstacle, named as in the log line ``step waits``. VMs without an obstacle are
+    under ``none``.
     """
     job = tasks.job
     if not waiting:
@@ -132,7 +132,7 @@
 
 
 def _find_vm_name(task: Task, vms: list[Vm]) -> str:
-    """Return the name of the VM of a task's run, or its former worker's."""
+    """Return the name of the VM of a task's run, or else its worker's."""
     for vm in vms:
         if vm.incarnation == task.runner:
             return vm.name
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -31,10 +31,10 @@
 #: starting. When all processes restart, agents come back at different times, and their
 #: workers may list ends of runs that no leader has recorded.
 _AGENT_START_SECONDS = 3.0
-#: Limit of that wait, in seconds after the first report of a term.
+#: Upper limit of the wait for agents, in seconds after the first report of a term.
 _LONGEST_AGENT_START_SECONDS = 8.0
 #: Seconds after an agent's first report of a term for which its worker's lists are
-#: waited for. The agent has found its worker, which may be slow to list its runs.
+#: awaited. The agent has found its worker, which may be slow to list its runs.
 _FIRST_LISTS_SECONDS = 2.0
 #: Seconds for which the operators' settings are valid after they were read.
 _OPERATIONS_VALID_SECONDS = 4.0
@@ -91,7 +91,7 @@
         return vm
 
     def find_busy_jobs(self) -> set[Job]:
-        """Return the jobs with a placed task, also of an earlier leader."""
+        """Return the jobs with a placed task, including those of earlier leaders."""
         holders = [vm.tasks_by_id for vm in self.vms()]
         holders += self._orphans_by_incarnation.values()
         return {task.job for tasks_by_id in holders for task in tasks_by_id.values()}
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
@@ -60,7 +60,7 @@
         self._ended_at_by_id: dict[str, float] = {}
         self._scheduled_jobs: dict[Job, None] = {}
         self._cancelled_at_by_id: dict[str, float] = {}
-        # Time of acceptance of forgotten jobs whose rows may remain.
+        # Time of acceptance of the dropped jobs whose rows may remain in the store.
         self._accepted_at_by_forgotten_id: dict[str, float] = {}
         # End, job and number of the occurrences that are kept because of a gang.
         self._ended_gangs: deque[tuple[float, Job, int]] = deque()
@@ -115,7 +115,7 @@
         return self._jobs_by_id.get(job_id)
 
     def iterate_open_tasks(self) -> Iterator[Task]:
-        """Yield the tasks that exist of all jobs that have not ended."""
+        """Yield the existing tasks of all jobs that have not ended."""
         for job in self._jobs_by_id.values():
             if not job.status.final:
                 yield from job.tasks()
@@ -288,7 +288,7 @@
         Returns
         -------
         list of str
-            Ids of the dropped jobs, now or before, whose rows are to be deleted.
+            Ids of all jobs dropped so far whose rows are not known to be deleted.
         """
         limit = self._clock.now() - _RETENTION_SECONDS
         old = [job_id for job_id, at in self._ended_at_by_id.items() if at < limit]
@@ -302,7 +302,7 @@
         return list(self._accepted_at_by_forgotten_id)
 
     def is_forgotten(self, spec: JobSpec) -> bool:
-        """Return whether a job was dropped, and not a later one with the same id."""
+        """Return whether this job was dropped, not an earlier one with the same id."""
         accepted_at = self._accepted_at_by_forgotten_id.get(spec.job_id)
         return accepted_at == spec.accepted_at
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/names.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/names.py
@@ -8,8 +8,8 @@
 CANCELS = "cancels"
 #: Progress of jobs, written by the leader.
 PROGRESS = "progress"
-#: Learned interference between images, written by the leader. Stored rows have an older
-#: name.
+#: Learned interference between images, written by the leader. The table keeps its
+#: former name, under which rows are stored.
 INTERFERENCE = "harm"
 #: The leader's lease, written in each of its transactions.
 LEADER = "leader"
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -51,7 +51,7 @@
 _FAILED_BEFORE_PENALTY = 5.0
 #: Load added while a run on the VM seems to have stalled, see ``Vm.avoided_until``.
 _AVOIDED_PENALTY = 2.0
-#: Obstacles of a VM that never runs such a task.
+#: Obstacles of a VM of another service, and of one without the label of the step.
 SERVICE = "service"
 LABEL = "label"
 #: Obstacle of a VM whose free resources are too small.
@@ -278,8 +278,8 @@
 def _would_start_beside_others(task: Task, vm: Vm, now: float) -> bool:
     """Return whether a suspect would start together with tasks that are not on trial.
 
-    They would be suspected as well, and the task would not be the only suspect. One
-    that has waited for long may do so, as such starts may never cease.
+    After a crash the others would be suspected as well. A suspect that has waited for
+    long may start beside them, as there may always be such starts.
     """
     if not is_tried_apart(task) or has_waited_for_trial(task, now):
         return False
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/run_control.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/run_control.py
@@ -86,7 +86,10 @@
         self._wake.set()
 
     def give_up(self, task: Task) -> None:
-        """Requeue a task whose worker's lease has expired; its end may come later."""
+        """Requeue a task whose worker's lease has expired.
+
+        The end of the run may still be reported later.
+        """
         if not task.step.long_running and not task.awaits_order:
             task.unheard_runs.add(task.run)
             if len(task.unheard_runs) > _MAX_UNHEARD_RUNS:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -209,7 +209,7 @@
             return self._jobs.forget_old()
 
     def is_forgotten(self, spec: JobSpec) -> bool:
-        """Return whether a job was dropped, and not a later one with the same id."""
+        """Return whether this job was dropped, not an earlier one with the same id."""
         with self._lock:
             return self._jobs.is_forgotten(spec)
 
@@ -243,7 +243,7 @@
             }
 
     def explain(self, job_id: str) -> dict[str, Any] | None:
-        """Return what operators may ask of a job, or None for an unknown one."""
+        """Return a description of a job for operators, or None if it is unknown."""
         with self._lock:
             job = self._jobs.find(job_id)
             if job is None:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/start_orders.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/start_orders.py
@@ -1,4 +1,4 @@
-"""Start orders: which still apply, and what their results mean."""
+"""Preparation of start orders and processing of their results."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 logger = logbook.Logger("scheduler")
 
-#: Seconds after its order, or after the agent's word that it has started, at which a
+#: Seconds after its order, or after the agent's reply that it has started, at which a
 #: run that the worker does not list is revoked.
 _UNLISTED_RUN_SECONDS = 1.5
 #: Seconds after a refused start during which other VMs are preferred. Until the next
