Clarify docstrings of shards, claims and connections

They described the parameters of a shard and the fields of a claim only by their surroundings. No change of behaviour. Unit tests of the batch package, of refused keys, of the forwarder and of the HTTP server pass.

--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/agent_orders.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/agent_orders.py
@@ -40,7 +40,7 @@
     Parameters
     ----------
     shard : OwnedShard
-        Log of the shard and the objects around it.
+        Lease and log of the shard, and the objects shared with other shards.
     inbox : EventInbox
         Receives the events that follow from exchanges.
     planner : StartPlanner
@@ -53,10 +53,7 @@
     """
 
     def __init__(
-        self,
-        shard: OwnedShard,
-        inbox: EventInbox,
-        planner: StartPlanner,
+        self, shard: OwnedShard, inbox: EventInbox, planner: StartPlanner
     ) -> None:
         self.granted_until = 0.0
         self._context, self._services = shard.context, shard.services
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/exchange.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/exchange.py
@@ -108,6 +108,7 @@
 ) -> None:
     task = state.task_with_attempt(reported.task_id, reported.attempt)
     outcome = _OUTCOMES_BY_STATE.get(reported.state)
+    # The worker may have finished a task whose attempt was ended as lapsed.
     late = state.queued_task_after(reported.task_id, reported.attempt)
     if late is not None and outcome == rec.DONE:
         task = late
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/services.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/services.py
@@ -38,7 +38,7 @@
 
 @attrs.frozen
 class OwnedShard:
-    """What the parts of a shard that this entry owns work with.
+    """Objects that the components of a shard share while this entry owns it.
 
     Attributes
     ----------
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/start_planner.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/start_planner.py
@@ -48,21 +48,18 @@
     Parameters
     ----------
     shard : OwnedShard
-        Log of the shard and the objects around it.
+        Lease and log of the shard, and the objects shared with other shards.
 
     Attributes
     ----------
     forecast : DeadlineForecast
-        Run times seen, and the jobs that will be late.
+        Observed run times, and the forecast of jobs that will miss their deadline.
     unchecked_agents : set of str
         Agents of lapsed attempts that have not listed their worker's tasks since; they
         get no starts.
     """
 
-    def __init__(
-        self,
-        shard: OwnedShard,
-    ) -> None:
+    def __init__(self, shard: OwnedShard) -> None:
         self.forecast = DeadlineForecast(DeclaredRunTime())
         self.unchecked_agents: set[str] = set()
         self._context, self._services = shard.context, shard.services
@@ -75,7 +72,7 @@
         self._next_idle_pass_at = 0.0
 
     def reset(self) -> None:
-        """Build the planner and the placement policy anew for the next plan."""
+        """Discard the planner and the placement policy; the next plan rebuilds them."""
         self._planner = None
 
     def plan(self) -> list[ev.Event]:
@@ -211,7 +208,8 @@
             permit = config.permit_until(announce.data_centre)
             if announce.state == "leaving" or not announce.worker_ready:
                 continue
-            # Its first reply may list tasks that were done before their leases lapsed.
+            # The agent's first reply may list tasks that were done before their leases
+            # lapsed.
             if announce.sender in self.unchecked_agents:
                 continue
             # Announcements may still arrive from an agent that cannot be reached.
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/batch/state.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/batch/state.py
@@ -58,7 +58,7 @@
         return task
 
     def queued_task_after(self, key: str, attempt: int) -> rec.Task | None:
-        """Return the queued task whose latest attempt this is, or None."""
+        """Return the queued task whose latest attempt has this number, or None."""
         task = self.tasks_by_key.get(key)
         if task is None or task.state != rec.QUEUED or task.attempts != attempt:
             return None
--- a/packages/pollenkeel-entry/src/pollenkeel_entry/requests/claims.py
+++ b/packages/pollenkeel-entry/src/pollenkeel_entry/requests/claims.py
@@ -44,7 +44,8 @@
 _MAX_CLAIM_WRITES = 3
 _QUERY_TIMEOUT_SECONDS = 1.0
 _POLL_INTERVAL_SECONDS = 0.05
-#: Least time for the write of a refusal, because many refusals are due to the deadline.
+#: Minimum timeout for the write of a refusal. When the deadline is the reason for the
+#: refusal, hardly any time is left before it.
 _REFUSAL_WRITE_SECONDS = 0.5
 #: Tries to read a pointer and its claim, which may be deleted between the two reads.
 _MAX_CLAIM_READS = 3
@@ -99,7 +100,7 @@
     returns the final result if the request is not sent.
 
     A request with the same key that was in progress when another one was refused as not
-    run must not be sent any more; ``cancelled`` tells it.
+    run must not be sent any more; ``cancelled`` is then True.
 
     Parameters
     ----------
@@ -131,16 +132,16 @@
         self._location: ClaimLocation | None = None
         #: Claim as last written by this request; None while it does not hold the claim.
         self._held: ClaimRow | None = None
-        #: Claim at ``_location``; None to create it.
+        #: Claim at ``_location`` that this request may replace; None if there is none.
         self._free: ClaimRow | None = None
         self._created_at = context.clock.now()
-        #: Row as this request last wrote it or read it while resolving.
+        #: Location and version as this request last wrote or resolved the claim.
         self._seen: ClaimLocation | None = None
         self._cancelled = False
 
     @property
     def cancelled(self) -> bool:
-        """Whether a request with this key was refused as not run meanwhile."""
+        """Whether another request with this key has been refused as not run."""
         return self._cancelled
 
     def assign(self, lease: SlotLease, attempt_id: str) -> Result[bool, Refusal]:
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/http.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/http.py
@@ -43,7 +43,7 @@
     """
 
     def process_conn(self, conn: JsonErrorConnection) -> None:
-        """Hand a connection with a request to a thread; watch a new one until then."""
+        """Hand a connection to a thread, a new one only once it has sent data."""
         if conn.is_new:
             conn.is_new = False
             self.put_conn(conn)
