--- a/benchmarks/progress_rows.py
+++ b/benchmarks/progress_rows.py
@@ -1,4 +1,4 @@
-"""Rows that the progress of jobs takes, and the time in which a leader loads a fleet's.
+"""Measures the rows that progress of jobs takes and the time to load them.
 
 Run with ``PYTHONPATH=standins python benchmarks/progress_rows.py``. A scheduler places
 the tasks of one job on simulated VMs until the job is done or a row exceeds the limit
@@ -225,11 +225,12 @@
     print(f"\n{LOADED_JOBS:,} jobs: {size / 1e6:.2f} MB, loaded in {seconds:.2f} s")
     with open_store() as tables:
         write_rows(tables, site, specs)
-        # A new leader does not share its memory with a simulated site.
+        # The collector must not visit the objects of the simulated site, which a new
+        # leader does not have in its memory.
         gc.collect()
         gc.freeze()
         for _ in range(3):
-            passed, used = hand_over(tables, site.clock)
+            passed, used = measure_handover(tables, site.clock)
             print(f"hand-over: {passed:.2f} s, of which {used:.2f} s of processor time")
 
 
@@ -260,7 +261,7 @@
             tables.transact(Transaction(partition, (), batch), 10.0).unwrap()
 
 
-def hand_over(tables: PlatformTables, clock: ManualClock) -> tuple[float, float]:
+def measure_handover(tables: PlatformTables, clock: ManualClock) -> tuple[float, float]:
     """Return the time from a new leader's lease to its first plan, and processor time.
 
     Both are in seconds. The processor time includes that of the store's stand-in.
@@ -268,7 +269,7 @@
     leadership = Leadership("entry-1", "tcp://nowhere", tables, clock)
     while not leadership.observe(lambda leader: True):
         clock.advance(1.0)
-    # Nor has it the garbage of an earlier term.
+    # Objects of the previous term must not be collected in the measured time.
     gc.collect()
     began, used = time.perf_counter(), time.process_time()
     # The term asks for no advice before it has loaded the jobs.
