--- a/tests/proofs/test_power_loss.py
+++ b/tests/proofs/test_power_loss.py
@@ -79,7 +79,9 @@
 def cut_power(site, vms, new_ids):
     """Kill all processes but the store at once, and start them again together."""
     runner_ids = [f"i-new-{number}" if new_ids else "" for number in range(vms)]
-    names = [name for name in site.processes_by_name if name.startswith(("e", "a"))]
+    names = [
+        name for name in site.processes_by_name if name.startswith(("entry", "agent"))
+    ]
     with ThreadPoolExecutor(len(names) + vms) as pool:
         kills = [pool.submit(site.processes_by_name[name].kill) for name in names]
         kills += [pool.submit(site.crash_runner, number) for number in range(vms)]
