Name tasks that crash workers by what they do in their tests

The tests and their simulation spoke of guilty and innocent tasks and of promises. The same cases run with the same checks: test_crash_suspects.py passes.

--- a/packages/pollenkeel-jobs/tests/core/test_crash_suspects.py
+++ b/packages/pollenkeel-jobs/tests/core/test_crash_suspects.py
@@ -1,4 +1,4 @@
-"""Guards against innocent tasks that suffer from crashes beside them (LOST)."""
+"""Guards against tasks that wait or are given up for crashes of others (LOST)."""
 
 import pytest
 from crash_play import STEP, RandomKills
@@ -8,7 +8,7 @@
 from pollenkeel_jobs.core.model import JobStatus
 from pollenkeel_jobs.core.specs import Demand, StepSpec
 
-#: Starts of a task that crashes each worker, as promised to the operators.
+#: Maximum number of starts of a task that crashes each worker.
 MAX_STARTS = 5
 #: Seconds for which a suspect of up to two crashes waits where there is room (LOST).
 MAX_WAIT = 3.0
@@ -16,7 +16,7 @@
 
 
 def add_random_job(play, number, tasks=10):
-    """Add a job of the kind of which seven a second use a third of four VMs."""
+    """Add a job; seven such jobs a second use a third of four VMs."""
     rng = play.rng
     play.add_job(f"j{number}", rng.randint(1, tasks), rng.uniform(0.3, 1.6))
 
@@ -56,19 +56,19 @@
 
 
 @pytest.mark.parametrize("seed", range(12))
-def test_only_guilty_tasks_are_given_up_beside_killed_workers(clock, seed):
-    """Guards against more starts than promised, and innocent jobs that are given up."""
-    guilty = {f"j{number}.0.0.0" for number in (20, 90, 91, 160)}
-    play = RandomKills(clock, seed, guilty=guilty)
+def test_only_crashing_tasks_are_given_up_beside_killed_workers(clock, seed):
+    """Guards against starts beyond the limit, and other jobs that are given up."""
+    crashing_tasks = {f"j{number}.0.0.0" for number in (20, 90, 91, 160)}
+    play = RandomKills(clock, seed, crashing_tasks=crashing_tasks)
     play_random_kills(play, 30.0)
     settle(play, 20.0)
     assert play.find_jobs(JobStatus.FAILED) == {"j20", "j90", "j91", "j160"}
     assert play.open_jobs == play.find_jobs(JobStatus.FAILED)
-    assert max(play.starts_by_guilty.values()) <= MAX_STARTS
+    assert max(play.starts_by_crashing_task.values()) <= MAX_STARTS
 
 
 def crash_alone(site):
-    """Crash the worker with the only run at once after its start."""
+    """Crash the worker with the only run immediately after its start."""
     holder = next(vm for vm in site.vms if vm.running)
     run = holder.running[0]
     holder.crash(RunKey(run.task_id, run.run))
@@ -92,7 +92,7 @@
 
 @pytest.mark.parametrize("began", [True, False])
 def test_crash_counts_although_its_report_is_lost(clock, began):
-    """Guards against more starts than promised if agents are lost with the worker."""
+    """Guards against starts beyond the limit if agents are lost with the worker."""
     site = Site(clock, vms=4)
     site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(1000, 1000), 1.0),)))
     site.step()
@@ -127,7 +127,7 @@
 @pytest.mark.parametrize("vms", [1, 2, 4])
 @pytest.mark.parametrize("tasks", [25, 250, 1000])
 def test_wait_of_suspects_does_not_grow_with_their_number(clock, tasks, vms):
-    """Guards against innocent tasks that wait to be tried in small groups."""
+    """Guards against long waits of suspects that are tried in small groups."""
     play = play_crashes(clock, tasks, 1, vms)
     settle(play, 5.0)
     assert len(play.site.running) == tasks
--- a/packages/pollenkeel-jobs/tests/crash_play.py
+++ b/packages/pollenkeel-jobs/tests/crash_play.py
@@ -1,4 +1,4 @@
-"""Seeded play of short tasks on workers that are killed, or that a task crashes."""
+"""Seeded simulation of short tasks on workers that are killed or that tasks crash."""
 
 import random
 from collections import Counter, deque
@@ -13,7 +13,7 @@
 #: Length of a step of the play and time between two lists of a worker, in seconds.
 STEP = 0.1
 _STEPS_PER_POLL = 4
-#: Reports of an agent repeat its latest crashes.
+#: Number of crashes that each report of an agent repeats.
 _REPORTED_CRASHES = 4
 
 
@@ -26,26 +26,26 @@
         Clock of the play.
     seed : int
         Seed of jobs and kills.
-    guilty : Collection of str
-        Tasks that crash each worker at once after their start.
+    crashing_tasks : Collection of str
+        Ids of the tasks that crash each worker immediately after their start.
 
     Attributes
     ----------
     longest_wait_by_crashes : dict of int to float
         Longest time in seconds for which a suspect has waited for a start, by its
-        crashes; 3 stands for three and more.
-    starts_by_guilty : Counter
+        number of crashes; the key 3 means three or more.
+    starts_by_crashing_task : Counter
         Starts of each task that crashes workers.
     suspected : set of str
         Tasks that were ever suspected.
     """
 
-    def __init__(self, clock, seed, vms=4, guilty=(), cpu=16_000):
+    def __init__(self, clock, seed, vms=4, crashing_tasks=(), cpu=16_000):
         self.clock = clock
         self.rng = random.Random(seed)
         self.site = Site(clock, vms, cpu=cpu, memory=10**6)
-        self.guilty = set(guilty)
-        self.starts_by_guilty = Counter()
+        self.crashing_tasks = set(crashing_tasks)
+        self.starts_by_crashing_task = Counter()
         self.longest_wait_by_crashes = dict.fromkeys((1, 2, 3), 0.0)
         self.suspected = set()
         self.lengths_by_job = {}
@@ -56,14 +56,14 @@
         self._steps = 0
 
     def add_job(self, name, tasks, seconds, cpu=1000):
-        """Hand in a job of tasks that run for a time in seconds."""
+        """Submit a job whose tasks each run for ``seconds``."""
         self.lengths_by_job[name] = seconds
         step = StepSpec(tasks, Demand(cpu, 1000), seconds)
         spec = make_job(name, (step,), accepted_at=self.clock.now())
         self.site.scheduler.add_job(spec)
 
     def kill(self, vm, seconds=0.8):
-        """Kill the worker of a VM; it is back after a time in seconds."""
+        """Kill the worker of a VM, which restarts after ``seconds``."""
         history = self._histories[vm]
         runs = history.find_suspects()
         self.suspected.update(task_id for task_id, _ in runs)
@@ -108,8 +108,8 @@
             self._started_at[run] = now
             self._histories[vm].record(run, now)
             self._histories[vm].confirm(run, now)
-        crashing = [o.task_id for o in orders if o.task_id in self.guilty]
-        self.starts_by_guilty.update(crashing)
+        crashing = [o.task_id for o in orders if o.task_id in self.crashing_tasks]
+        self.starts_by_crashing_task.update(crashing)
         if crashing:
             self.kill(vm)
 
