--- a/packages/pollenkeel-jobs/tests/core/test_late_ends.py
+++ b/packages/pollenkeel-jobs/tests/core/test_late_ends.py
@@ -41,6 +41,22 @@
     return site
 
 
+def fail_on_silent_vm(clock, job):
+    """Return a site with an unreported failure on one VM and a new run on the other."""
+    site = Site(clock, vms=2)
+    site.scheduler.add_job(job)
+    silent, other = site.vms
+    other.draining = True
+    site.step()
+    silent.end(TASK, "failed")
+    silent.away = True
+    clock.advance(WORKER_LEASE + 1.0)
+    site.step()
+    other.draining = False
+    site.step()
+    return site
+
+
 def plan_start(site):
     """Return the VM and the planned start of the task's next run."""
     planned = site.scheduler.plan()
@@ -130,17 +146,8 @@
 
 def test_late_failure_of_an_earlier_run_counts(clock):
     """Guards against a start after the attempts are used up (BUDGET)."""
-    site = Site(clock, vms=2)
-    site.scheduler.add_job(make_job(steps=(make_step(),)))
+    site = fail_on_silent_vm(clock, make_job(steps=(make_step(),)))
     silent, other = site.vms
-    other.draining = True
-    site.step()
-    silent.end(TASK, "failed")
-    silent.away = True
-    clock.advance(WORKER_LEASE + 1.0)
-    site.step()
-    other.draining = False
-    site.step()
     assert [run.run for run in other.running] == [2]
     silent.away = False
     site.step()
@@ -154,17 +161,8 @@
 def test_late_failure_of_an_earlier_run_counts_once(clock, record):
     """Guards against a failure that a new leader counts again, or never."""
     job = make_job(steps=(make_step(),), attempts=3)
-    site = Site(clock, vms=2)
-    site.scheduler.add_job(job)
+    site = fail_on_silent_vm(clock, job)
     silent, other = site.vms
-    other.draining = True
-    site.step()
-    silent.end(TASK, "failed")
-    silent.away = True
-    clock.advance(WORKER_LEASE + 1.0)
-    site.step()
-    other.draining = False
-    site.step()
     silent.away = False
     for _ in range(2):
         site.step(record=record)
--- a/packages/pollenkeel-jobs/tests/core/test_leader.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leader.py
@@ -110,9 +110,9 @@
     assert term.scheduler.find_status("good") is not None
 
 
-def end_and_forget(term, tables, clock, fault):
-    """End a job, and forget it after its retention with a fault of the deletion."""
-    write = RowWrite(JOBS, "j1", encode_job(make_job(accepted_at=clock.now())))
+def end_and_forget(term, tables, clock, fault, job):
+    """End a job and drop it after its retention, with a fault in the deletion."""
+    write = RowWrite(JOBS, "j1", encode_job(job))
     tables.apply(Transaction(get_intake_partition("j1"), (), (write,)))
     term._load(threading.Event())
     term.scheduler.cancel_job("j1")
@@ -129,7 +129,7 @@
 @pytest.mark.parametrize("fault", ["refused", "lost", "dropped"])
 def test_old_job_does_not_run_again_while_its_row_remains(term, tables, clock, fault):
     """Guards against an ended job that begins anew when the table is read again."""
-    row = end_and_forget(term, tables, clock, fault)
+    row = end_and_forget(term, tables, clock, fault, make_job(accepted_at=clock.now()))
     term.apply_row("j1", row)
     assert term.scheduler.describe()["waiting"] == []
 
@@ -137,7 +137,7 @@
 @pytest.mark.parametrize("fault", ["refused", "lost", "dropped"])
 def test_rows_of_an_old_job_are_deleted_after_a_failure(term, tables, clock, fault):
     """Guards against rows that are left behind by a store that refuses for a while."""
-    end_and_forget(term, tables, clock, fault)
+    end_and_forget(term, tables, clock, fault, make_job(accepted_at=clock.now()))
     clock.advance(10.1)
     term.leadership.renew()
     term._delete_old_jobs()
@@ -147,7 +147,7 @@
 
 def test_job_with_the_id_of_an_old_one_is_not_deleted(term, tables, clock):
     """Guards against a new job that is lost with the rows of an earlier one (LOST)."""
-    end_and_forget(term, tables, clock, "lost")
+    end_and_forget(term, tables, clock, "lost", make_job(accepted_at=clock.now()))
     row = encode_job(make_job(accepted_at=clock.now()))
     write = RowWrite(JOBS, "j1", row)
     tables.apply(Transaction(get_intake_partition("j1"), (), (write,)))
@@ -164,17 +164,7 @@
     term, tables, clock, fault
 ):
     """Guards against an ended job that the next leader runs again."""
-    write = RowWrite(JOBS, "j1", encode_job(make_job()))
-    tables.apply(Transaction(get_intake_partition("j1"), (), (write,)))
-    term._load(threading.Event())
-    term.scheduler.cancel_job("j1")
-    planned = term.scheduler.plan()
-    term.leadership.commit(planned.writes)
-    term.scheduler.confirm(planned)
-    clock.advance(620.0)
-    term.leadership.renew()
-    tables.faults = [fault]
-    term._delete_old_jobs()
+    end_and_forget(term, tables, clock, fault, make_job())
     assert tables.rows_by_key[LEADER_PARTITION, PROGRESS, "j1"].value is not None
 
 
--- a/packages/pollenkeel-jobs/tests/core/test_leader_changes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leader_changes.py
@@ -12,7 +12,7 @@
 from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 TASK = "j1.0.0.0"
-#: Crashes at once after its start after which a task is given up.
+#: Number of crashes immediately after its start after which a task is given up.
 MAX_CRASHES_AT_ONCE = 4
 
 
@@ -63,7 +63,7 @@
 
 
 class Play:
-    """Job of one step whose runs end as told, with a leader lost after each end.
+    """Job of one step whose runs end as requested, with a leader lost after each end.
 
     Parameters
     ----------
@@ -89,7 +89,7 @@
         self._clock = clock
 
     def end(self, task, how):
-        """End the run of a task, lose the leader, and let the next one go on."""
+        """End the run of a task, lose the leader, and let the next one do passes."""
         (vm,) = self.site.vms
         (run,) = (run.run for run in vm.running if run.task_id == task)
         vm.end(task, how)
@@ -100,8 +100,16 @@
         self.site.vms[0].draining = False
         self.step()
 
+    def crash(self):
+        """Crash the worker with the only run, lose the leader, and do passes."""
+        (vm,) = self.site.vms
+        (run,) = vm.running
+        vm.crash(RunKey(TASK, run.run))
+        self.site = self._moment(self.site, self.jobs)
+        self.step()
+
     def step(self):
-        """Let the leader go on for a while; all runs make progress."""
+        """Let the leader do three passes; all runs make progress."""
         for _ in range(3):
             self._clock.advance(0.2)
             (vm,) = self.site.vms
@@ -213,11 +221,7 @@
     play = Play(clock, moment, make_step())
     for crashes in range(1, MAX_CRASHES_AT_ONCE + 1):
         play.step()
-        (vm,) = play.site.vms
-        (run,) = vm.running
-        vm.crash(RunKey(TASK, run.run))
-        play.site = moment(play.site, play.jobs)
-        play.step()
+        play.crash()
         assert (play.status == "failed") == (crashes == MAX_CRASHES_AT_ONCE)
 
 
@@ -227,9 +231,5 @@
     for _ in range(MAX_CRASHES_AT_ONCE + 2):
         for _ in range(5):
             play.step()
-        (vm,) = play.site.vms
-        (run,) = vm.running
-        vm.crash(RunKey(TASK, run.run))
-        play.site = moment(play.site, play.jobs)
-        play.step()
+        play.crash()
         assert play.status != "failed"
