--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -197,7 +197,7 @@
         return not task.seen_at or vm.ends_complete_to == vm.clock
 
     def _process_end(self, vm: Vm, ended: EndedTask, now: float) -> None:
-        """Finish, fail or requeue a task according to how its run ended."""
+        """Apply a listed end of a run, unless it no longer counts."""
         self._control.stops.forget(ended.task_id, ended.run)
         task = self._jobs.find_task(ended.task_id)
         if task is None:
@@ -219,6 +219,11 @@
         placed_here = holder.tasks_by_id.get(ended.task_id) is task
         if not placed_here and task.state is not TaskState.WAITING:
             return
+        self._log_end(vm, task, ended, now)
+        self._record_end(vm, holder, task, ended, now)
+        self._finish_or_requeue(vm, task, ended.how)
+
+    def _log_end(self, vm: Vm, task: Task, ended: EndedTask, now: float) -> None:
         log_change(
             logger,
             "run ended",
@@ -230,6 +235,11 @@
             image=task.step.image or None,
             use=round(task.use, 2) if task.step.fills else None,
         )
+
+    def _record_end(
+        self, vm: Vm, holder: Vm, task: Task, ended: EndedTask, now: float
+    ) -> None:
+        """Release the VM that holds a task and record what its ended run has shown."""
         RUNS_ENDED.labels(ended.how).inc()
         holder.remove(task)
         task.runner = ""
@@ -240,16 +250,19 @@
             record_own_end(self._jobs, task, ended.run)
         if ended.how in ("done", "failed") and not task.step.long_running:
             self._record_vm_result(vm, task, ended.how == "failed", now)
+
+    def _finish_or_requeue(self, vm: Vm, task: Task, how: str) -> None:
+        """Finish, fail or requeue a task according to how its run ended."""
         if task.job.status.final or task.state is TaskState.DONE:
             return
-        if ended.how == "done" and not task.step.long_running:
+        if how == "done" and not task.step.long_running:
             self._jobs.finish_task(task)
             self._control.forget_tickets_if_final(task.job)
-        elif ended.how == "failed" and self._record_failure(task, vm):
+        elif how == "failed" and self._record_failure(task, vm):
             task.state = TaskState.FAILED
             self._control.finish(task.job, JobStatus.FAILED)
         else:
-            self._control.requeue(task, ended.how)
+            self._control.requeue(task, how)
 
     def _log_end_of_unreadable_job(self, vm: Vm, ended: EndedTask) -> None:
         """Log an end that can't be recorded; whoever repairs the job needs it."""
