Let the stand-in of the platform store no object whose body is cut off

Traced in its records: the worker was killed while it sent a checkpoint, the stand-in of the object store stored what had arrived, and the next worker refused the damaged checkpoint 510 times. An object store takes a whole object or none, so the fault is the stand-in's. It now answers 400 to a body that is shorter than its length says.

--- a/standins/pollenkeel_standins/serving.py
+++ b/standins/pollenkeel_standins/serving.py
@@ -136,7 +136,12 @@
     def _deliver(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        answer = self._handler(_read_request(environ))
+        request = _read_request(environ)
+        if len(request.body) < int(environ.get("CONTENT_LENGTH") or 0):
+            # The client has gone while it sent the body.
+            answer = json_answer({"detail": "incomplete body"}, 400)
+        else:
+            answer = self._handler(request)
         connection = environ["standin.connection"]
         headers = {**answer.headers, "Content-Length": str(len(answer.body))}
         if answer.cut is not DeliveryFault.NONE:
--- a/standins/tests/test_platform.py
+++ b/standins/tests/test_platform.py
@@ -1,5 +1,8 @@
 """Contract tests of the table service and object store, through the HTTP client."""
 
+import socket
+from urllib.parse import urlsplit
+
 import pytest
 from result import Err, Ok
 
@@ -52,6 +55,18 @@
     assert client.get("t", KEY) == Ok(None)
 
 
+@pytest.mark.parametrize("sent", [b"", b"half"])
+def test_object_of_a_client_that_is_gone_is_not_stored(platform, client, sent):
+    """Guards against a checkpoint that is cut off because its worker was killed."""
+    address = urlsplit(client._url)
+    head = b"PUT /objects/o HTTP/1.1\r\nHost: s\r\nContent-Length: 8\r\n\r\n"
+    with socket.create_connection((address.hostname, address.port)) as connection:
+        connection.sendall(head + sent)
+        connection.shutdown(socket.SHUT_WR)
+        connection.recv(4096)
+    assert client.get_object("o") == Ok(None)
+
+
 def test_deletion_of_an_object_is_idempotent(client):
     """Guards against an error for a deletion that is retried after a lost answer."""
     client.put_object("answers/a", b"1").unwrap()
