--- a/packages/pollenkeel-jobs/tests/core/test_idle_jobs.py
+++ b/packages/pollenkeel-jobs/tests/core/test_idle_jobs.py
@@ -60,5 +60,5 @@
         pass_seconds(site, clock, 2.0, 0.25)
     lines = list_lines(handler, "step waits")
     assert [(line["crashes"], line["obstacles"]) for line in lines] == [
-        (4, {"trial": 1})
+        (3, {"trial": 1})
     ]
