Share one empty set among the tasks without earlier runs

Two parts had each added a set to every task; an empty one takes 216 bytes. The four sets of a task are frozensets now, which are one object while they are empty.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
@@ -80,9 +80,9 @@
         if run.run <= task.sound_run:
             _acquit(jobs, task)
             continue
-        task.crashed_on.add(crash.worker)
+        task.crashed_on |= {crash.worker}
         if run in at_once:
-            task.crashed_at_once.add(crash.worker)
+            task.crashed_at_once |= {crash.worker}
         jobs.dirty[task.job] = None
         given_up = _should_give_up(task)
         log_change(
@@ -163,8 +163,7 @@
     """Record a run that did not crash its worker, and drop the crashes before it."""
     task.sound_run = run
     if task.crashed_on:
-        task.crashed_on.clear()
-        task.crashed_at_once.clear()
+        task.crashed_on = task.crashed_at_once = frozenset()
         _acquit(jobs, task)
 
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -101,16 +101,16 @@
     runner : str
         Incarnation of the worker on which the latest run was placed; empty once the end
         of that run has been processed.
-    crashed_on : set of str
+    crashed_on : frozenset of str
         Incarnations of workers that crashed shortly after they had started the task,
         since its latest sound run.
-    crashed_at_once : set of str
+    crashed_at_once : frozenset of str
         Those of ``crashed_on`` that were not seen alive after they had started the
         task.
     acquitted_through : int
         Number of a run up to which crashes do not count, because it ran soundly. Agents
         repeat their reports of crashes, also to a new leader.
-    unheard_runs : set of int
+    unheard_runs : frozenset of int
         Numbers of runs that were given up with the lease of their worker, and whose end
         has not been processed. If such a run has failed, its late end still counts.
     placed_at, seen_at : float
@@ -154,7 +154,7 @@
         Moving average of the run's CPU use as a share of its declared CPU.
     ticket : str
         Ticket of the advice service for the latest run; empty if none is needed.
-    failed_on : set of str
+    failed_on : frozenset of str
         Incarnations of workers on which a run failed or stalled.
     task_id : str
         ``<job id>.<occurrence>.<step>.<index>``.
@@ -167,10 +167,10 @@
     failures: int = 0
     checkpoint: str = ""
     runner: str = ""
-    crashed_on: set[str] = attrs.field(factory=set)
-    crashed_at_once: set[str] = attrs.field(factory=set)
+    crashed_on: frozenset[str] = frozenset()
+    crashed_at_once: frozenset[str] = frozenset()
     acquitted_through: int = 0
-    unheard_runs: set[int] = attrs.field(factory=set)
+    unheard_runs: frozenset[int] = frozenset()
 
     placed_at: float = 0.0
     seen_at: float = 0.0
@@ -189,7 +189,7 @@
     starved_since: float = 0.0
     use: float = 0.0
     ticket: str = ""
-    failed_on: set[str] = attrs.field(factory=set)
+    failed_on: frozenset[str] = frozenset()
     task_id: str = attrs.field(init=False, default="")
 
     def __attrs_post_init__(self) -> None:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -142,8 +142,8 @@
         """Return what makes a VM's score differ between tasks of one step."""
         return (
             self.has_waited_long(task),
-            frozenset(task.failed_on),
-            frozenset(task.crashed_on),
+            task.failed_on,
+            task.crashed_on,
             has_waited_for_trial(task, self.now),
         )
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/records.py
@@ -124,10 +124,14 @@
     _check_count("acquitted_through", acquitted_through, 0)
     for run in unheard_runs:
         _check_count("unheard run", run, 1)
-    task.crashed_on = {_check_text("crashed worker", w) for w in crashed_on}
+    task.crashed_on = _check_workers(crashed_on)
     task.acquitted_through = acquitted_through
-    task.unheard_runs = set(unheard_runs)
-    task.crashed_at_once = {_check_text("crashed worker", w) for w in crashed_at_once}
+    task.unheard_runs = frozenset(unheard_runs)
+    task.crashed_at_once = _check_workers(crashed_at_once)
+
+
+def _check_workers(workers: Iterable[object]) -> frozenset[str]:
+    return frozenset(_check_text("crashed worker", worker) for worker in workers)
 
 
 def _check_text(name: str, value: object) -> str:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -243,7 +243,7 @@
         RUNS_ENDED.labels(ended.how).inc()
         holder.remove(task)
         task.runner = ""
-        task.unheard_runs.discard(ended.run)
+        task.unheard_runs -= {ended.run}
         self._jobs.mark_started(task.job)
         store_checkpoint(task, ended.checkpoint)
         if ended.how in ("done", "failed"):
@@ -280,7 +280,7 @@
 
     def _process_late_failure(self, vm: Vm, task: Task, ended: EndedTask) -> None:
         """Count a failed run that was given up, although a later one was placed."""
-        task.unheard_runs.remove(ended.run)
+        task.unheard_runs -= {ended.run}
         if task.job.status.final or task.state is TaskState.DONE:
             return
         log_change(
@@ -315,7 +315,7 @@
 
         The members of a gang share their attempts; long-running tasks have no limit.
         """
-        task.failed_on.add(vm.incarnation)
+        task.failed_on |= {vm.incarnation}
         if task.step.long_running:
             return False
         task.failures += 1
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/run_control.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/run_control.py
@@ -91,9 +91,9 @@
         The end of the run may still be reported later.
         """
         if not task.step.long_running and not task.awaits_order:
-            task.unheard_runs.add(task.run)
+            task.unheard_runs |= {task.run}
             if len(task.unheard_runs) > _MAX_UNHEARD_RUNS:
-                task.unheard_runs.remove(min(task.unheard_runs))
+                task.unheard_runs -= {min(task.unheard_runs)}
         self.requeue(task, "lease lapsed")
 
     def forget_tickets_if_final(self, job: Job) -> None:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/stalls.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/stalls.py
@@ -94,7 +94,7 @@
             since=round(seconds, 2),
         )
         task.stop_wanted = True
-        task.failed_on.add(vm.incarnation)
+        task.failed_on |= {vm.incarnation}
         task.suspicion = Suspicion(vm.incarnation, seconds, count)
         vm.avoided_until = now + _AVOIDED_SECONDS
 
--- a/packages/pollenkeel-jobs/tests/core/test_waiting.py
+++ b/packages/pollenkeel-jobs/tests/core/test_waiting.py
@@ -159,12 +159,12 @@
         clock.advance(0.2)
     for task in queue.jobs.ready:
         if rng.random() < 0.1:
-            task.crashed_on.add("vm-1/w~0")
+            task.crashed_on |= {"vm-1/w~0"}
             if seed % 2:
                 task.crashed_on |= {f"vm-3/w~{n}" for n in range(rng.randrange(4))}
                 task.ready_at = clock.now() - rng.uniform(0.0, 4.0)
         if rng.random() < 0.1:
-            task.failed_on.add("vm-2/w~1")
+            task.failed_on |= {"vm-2/w~1"}
     return queue
 
 
@@ -267,7 +267,7 @@
         queue.jobs.add(make_job(f"j{number}", (step(1000 + number, label="none"),)))
     queue.jobs.add(make_job("suspects", (StepSpec(40, Demand(10, 10), 1.0),)))
     for task in queue.jobs.find("suspects").tasks():
-        task.crashed_on.add("vm-1/w~0")
+        task.crashed_on |= {"vm-1/w~0"}
         task.suspects = 40
     assert len(queue.run_pass()) == 40
     assert queue.placement.searches < 4 * (2 * 30 + 2 * 40)
