--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/first_runs.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/first_runs.py
@@ -1,8 +1,8 @@
 """First runs of best-effort jobs that have had no run for long.
 
 Runs that are throttled keep a VM closed to further best-effort tasks for as long as
-they last, and jobs that have missed their objective come last. Without a turn of its
-own, a job would wait without a bound while most of the resources are free.
+they last, and jobs that have missed their objective come last. Without a first run, a
+job could wait without a bound while most of the resources are free.
 """
 
 from __future__ import annotations
@@ -50,7 +50,7 @@
     def choose(self, waiting: WaitingTasks, now: float) -> Iterator[Task]:
         """Yield the tasks to place now, by the time for which they have been idle.
 
-        Those that found no VM come last in the next pass, so that they hide no other.
+        Those that found no VM come last in the next pass, so that all are tried in turn.
 
         Parameters
         ----------
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -261,14 +261,15 @@
                 self._repaired.set()
 
     def _is_any_repaired(self) -> bool:
+        """Return whether the record of an unreadable job can be read by now."""
         job_ids = self.scheduler.list_unreadable_jobs()
         return any(can_load(self._tables, job_id) for job_id in job_ids)
 
     def _end_if_repaired(self) -> None:
         """End the term once an unreadable job can be loaded.
 
-        Its runs may still be in progress under leases of this term; the next one loads
-        it as a new leader loads all jobs.
+        Its runs may still be in progress under leases of this term. A new leader allows
+        for such runs when it loads the jobs.
         """
         if self._repaired.is_set() and self.leadership.leads:
             self.leadership.resign()
@@ -442,7 +443,7 @@
         self._senders_by_vm[vm] = VmOrderSender(self, vm, peer)
 
     def explain(self, job_id: str) -> Result[dict[str, Any], Refusal]:
-        """Return what operators may ask of a job."""
+        """Return a description of a job for operators."""
         if not self._loaded:
             return Err(Refusal(Code.NOT_OWNER, "the jobs are being loaded"))
         found = self.scheduler.explain(job_id)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -72,7 +72,7 @@
         # By kind of demand and number of crashes.
         self._unplaced_by_kind: dict[tuple[DemandKind, int], Task] = {}
         # Unplaced tasks without crashes that ``_do_others_wait`` has not looked at.
-        self._unchecked: list[Task] = []
+        self._unplaced_to_check: list[Task] = []
         self._others_wait = False
         self._jobs = jobs
         self._tickets = tickets
@@ -104,7 +104,7 @@
         """
         self._placement.now = now
         self._unplaced_by_kind = {}
-        self._unchecked = []
+        self._unplaced_to_check = []
         self._others_wait = False
         self._reservations.remove_ended(now)
         if not self._jobs.ready:
@@ -154,8 +154,8 @@
 
         Each task is looked at once a pass, as its service and its label don't change.
         """
-        while self._unchecked and not self._others_wait:
-            task = self._unchecked.pop()
+        while self._unplaced_to_check and not self._others_wait:
+            task = self._unplaced_to_check.pop()
             self._others_wait = any(
                 self._placement.find_obstacle(task, vm) not in (SERVICE, LABEL)
                 for vm in vms
@@ -167,7 +167,7 @@
         if key not in self._unplaced_by_kind:
             self._unplaced_by_kind[key] = task
             if not task.crashed_on:
-                self._unchecked.append(task)
+                self._unplaced_to_check.append(task)
 
     def _place_reserved(self, vms: list[Vm]) -> Iterator[Placed]:
         """Place the tasks for which there is room now where it was kept for them."""
