--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/first_runs.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/first_runs.py
@@ -50,7 +50,7 @@
     def choose(self, waiting: WaitingTasks, now: float) -> Iterator[Task]:
         """Yield the tasks to place now, by the time for which they have been idle.
 
-        Those that found no VM come last in the next pass, so that all are tried in turn.
+        Those that found no VM come last in the next pass; so all are tried in turn.
 
         Parameters
         ----------
