Restart a process that ends while the rig of the proofs heals its site

Traced in the logs: the agent of vm-kingston was sent SIGTERM, was still draining as heal() looked for ended processes, expired at 10:08:23, and was restarted only by the heal() of the next test, at 10:09:15. The race is in the rig; no process misbehaved.

Change: while heal() waits, a process that has ended with status 0 is restarted. One that ended in any other way is not, so that the wait still fails.

--- a/standins/pollenkeel_standins/rig.py
+++ b/standins/pollenkeel_standins/rig.py
@@ -137,11 +137,21 @@
         self.set_drained("entry-0", "portmore", False, make_tag())
         wait_until(self._serves, _HEAL_TIMEOUT_SECONDS, "the site serves again")
 
+    def _restart_stopped(self) -> None:
+        """Restart the processes that have ended properly since ``heal`` began.
+
+        One that was sent SIGTERM before may still have been running then.
+        """
+        for process in list(self.cluster.processes_by_name.values()):
+            if not process.alive and process.wait() == 0:
+                self.restart(process.name)
+
     def _serves(self) -> bool:
         """Send one request through each entry.
 
         Returns whether, since ``heal`` began, every entry has reached every VM.
         """
+        self._restart_stopped()
         served = set()
         for name in ENTRIES:
             path = "/ready"
