Wait for every client's answer, and give fixed sleeps in tests their reason

test_stop_cuts_no_answer_of_many_clients stopped the entry 2 s after its clients had begun, and then asked that each had an answer; on a busy machine one may need longer. It now waits for these answers, with a limit, so the check afterwards is as strict. Three sleeps that stand for a moment or for the bound itself say so.

--- a/packages/pollenkeel-kernel/tests/core/test_http.py
+++ b/packages/pollenkeel-kernel/tests/core/test_http.py
@@ -57,6 +57,7 @@
             stack.enter_context(socket.create_connection((host, int(port)), LIMIT))
             for _ in range(2 * THREADS)
         ]
+        # Nothing shows a client that its connection has been accepted.
         time.sleep(0.2)
         yield connections
 
--- a/tests/proofs/test_many_connections.py
+++ b/tests/proofs/test_many_connections.py
@@ -7,6 +7,7 @@
 import pytest
 
 from pollenkeel_standins.job_site import JobSite
+from pollenkeel_standins.processes import wait_until
 
 #: More than an entry has threads for clients.
 CONNECTIONS = 40
@@ -80,7 +81,11 @@
     clients = [Client(site) for _ in range(CONNECTIONS)]
     for client in clients:
         client.start()
-    time.sleep(2.0)
+    wait_until(
+        lambda: all(client.answers for client in clients),
+        GRACE_SECONDS,
+        "every client has an answer",
+    )
     assert site.processes_by_name["entry-0"].stop(GRACE_SECONDS) == 0
     for client in clients:
         client.join(2 * CLIENT_SECONDS)
--- a/tests/proofs/test_power_loss.py
+++ b/tests/proofs/test_power_loss.py
@@ -140,10 +140,12 @@
         site.write_config(2)
         assert site.call("DELETE", "cancelled", 0).status == 200
         site.submit("latest", ORDINARY, "run 1")
+        # The loss follows at a given moment, whatever has been done by then.
         time.sleep(seconds)
         cut_power(site, 3, new_ids)
         returned_at = time.time()
         job_ids.append("latest")
+        # The bound itself: what is at work is looked at when it has passed.
         time.sleep(RECOVERY_SECONDS)
         assert find_idle_jobs(site, job_ids, returned_at) == []
         assert site.find_state("cancelled") == "cancelled"
