Review case 10: lasting tasks are started one by one after crashes

Cause: a task suspected of three crashes is tried alone, however long it has waited. Takes the place of the CONFIG case, whose window is small. Ruled out: without the crashes all tasks start at once.

--- a/review/site2.py
+++ b/review/site2.py
@@ -13,6 +13,7 @@
 import http.server
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -35,6 +36,8 @@
 FIGURE = 10
 TX_S = 0.005
 BROKEN, HELD, NO_RUN = 1, 0, 2
+PORTS = range(15_000, 32_000)
+_taken_ports: set[int] = set()
 
 
 def trouble() -> bool:
@@ -43,10 +46,15 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback interface that nobody uses."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a loopback port that nobody uses, below those of outgoing channels."""
+    while True:
+        port = random.SystemRandom().choice(PORTS)
+        if port in _taken_ports:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            _taken_ports.add(port)
+            return port
 
 
 class Record:
@@ -413,44 +421,6 @@
             time.sleep(HEARTBEAT_S)
 
 
-class Relay:
-    """TCP proxy to a port; its open channels can go silent while new ones work."""
-
-    def __init__(self, target: int) -> None:
-        self._target = target
-        self._silent_before = 0.0
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
-        self.port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def silence(self) -> None:
-        """Deliver nothing more on the channels that are open now."""
-        self._silent_before = time.monotonic()
-
-    def _accept(self) -> None:
-        while True:
-            channel, _ = self._listener.accept()
-            opened_at = time.monotonic()
-            other = socket.create_connection(("127.0.0.1", self._target))
-            for pair in ((channel, other), (other, channel)):
-                for end in pair:
-                    end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                threading.Thread(
-                    target=self._copy, args=(*pair, opened_at), daemon=True
-                ).start()
-
-    def _copy(
-        self, source: socket.socket, target: socket.socket, opened_at: float
-    ) -> None:
-        with contextlib.suppress(OSError):
-            while data := source.recv(65536):
-                if opened_at < self._silent_before:
-                    continue
-                target.sendall(data)
-            if opened_at >= self._silent_before:
-                target.shutdown(socket.SHUT_WR)
-
-
 def request(
     port: int, method: str, path: str, body: object = None, timeout: float = 3.0
 ) -> tuple[int, dict]:
@@ -482,12 +452,10 @@
         entries: int,
         labels: list[list[str]],
         attempts: int = 4,
-        relayed: bool = False,
     ) -> None:
         self.attempts = attempts
         self.record = Record(folder)
         self.store = Store()
-        self.relay = Relay(self.store.port) if relayed else None
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._processes: dict[str, subprocess.Popen] = {}
         self._settings: dict[str, tuple[str, dict]] = {}
@@ -498,8 +466,7 @@
     def __enter__(self) -> Site:
         try:
             self.write_config(1, [PREFIX])
-            port = self.relay.port if self.relay else self.store.port
-            store = f"127.0.0.1:{port}"
+            store = f"127.0.0.1:{self.store.port}"
             for number in range(self._entries):
                 self.entry_ports.append(free_port())
                 self._start_new(
