Add settings for optional policies and a forecast of the ends of runs

Cause: placement cannot tell which runs end soon, and a deployment cannot switch a policy of the scheduler on. The policies that follow need both. Change: SchedulingSettings is passed whole from the entry's settings to the scheduler; all of its policies are off by default and none exists yet. VmSpeeds moves from the report processor to the scheduler, which shares it.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -19,6 +19,7 @@
 from pollenkeel_jobs.core.leadership import Leadership, LeaseRecord
 from pollenkeel_jobs.core.messages import LeaderQuery, LeaderQueryReply
 from pollenkeel_jobs.core.operations import OperationsFeed
+from pollenkeel_jobs.core.scheduling_settings import SchedulingSettings
 from pollenkeel_jobs.core.tables import TableService
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.codes import Code
@@ -60,6 +61,8 @@
     cpu : float
         Processor capacity of the process, in cores; 0 if unknown. Entries with much
         more capacity than others are preferred as leader.
+    scheduling : SchedulingSettings
+        Policies that are switched on while this process leads.
     """
 
     id: str
@@ -68,6 +71,7 @@
     advertised_address: str
     hand_over_seconds: float = 5.0
     cpu: float = 0.0
+    scheduling: SchedulingSettings = SchedulingSettings()
 
 
 class Entry:
@@ -183,6 +187,7 @@
             self._tables,
             self._clock,
             self._advice,
+            self._settings.scheduling,
         )
         self._contact.term = term
         watcher = threading.Thread(
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -46,6 +46,7 @@
 from pollenkeel_jobs.core.progress_rows import join_progress_rows
 from pollenkeel_jobs.core.records import RecordError, decode_job
 from pollenkeel_jobs.core.scheduler import Scheduler
+from pollenkeel_jobs.core.scheduling_settings import SchedulingSettings
 from pollenkeel_jobs.core.tables import (
     Condition,
     FailureKind,
@@ -106,6 +107,8 @@
         Source of time.
     advice : AdviceService
         Client of the advice service.
+    settings : SchedulingSettings, optional
+        Policies that are switched on; none by default.
 
     Attributes
     ----------
@@ -121,6 +124,7 @@
         tables: TableService,
         clock: Clock,
         advice: AdviceService,
+        settings: SchedulingSettings | None = None,
     ) -> None:
         self.name = name
         self.address = address
@@ -128,7 +132,9 @@
         self.clock = clock
         self.over = threading.Event()
         self._interference = InterferenceModel()
-        self.scheduler = Scheduler(leadership.epoch, clock, self._interference)
+        self.scheduler = Scheduler(
+            leadership.epoch, clock, self._interference, settings
+        )
         self._tables = tables
         self._senders_by_vm: dict[Vm, VmOrderSender] = {}
         self._member_values_by_name: dict[str, bytes] = {}
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -54,6 +54,8 @@
         Learns from the measurements in the reports.
     wake : threading.Event
         Set if a pass has something to do.
+    speeds : VmSpeeds
+        Learns from the run times in the reports.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         fleet: Fleet,
         interference: InterferenceModel,
         wake: threading.Event,
+        speeds: VmSpeeds,
     ) -> None:
         self._epoch = epoch
         self._control = control
@@ -71,7 +74,7 @@
         self._fleet = fleet
         self._interference = interference
         self._wake = wake
-        self._speeds = VmSpeeds()
+        self._speeds = speeds
         self._stalls = StallDetector(self._speeds, fleet.quarantine)
 
     def apply(self, vm: Vm, report: VmReport, now: float) -> None:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -50,7 +50,10 @@
 from pollenkeel_jobs.core.reports import ReportProcessor
 from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.run_control import RunControl
+from pollenkeel_jobs.core.run_forecast import RunForecast
+from pollenkeel_jobs.core.scheduling_settings import SchedulingSettings
 from pollenkeel_jobs.core.specs import JobSpec
+from pollenkeel_jobs.core.speed import VmSpeeds
 from pollenkeel_jobs.core.start_orders import StartOrders
 from pollenkeel_jobs.core.tables import RowWrite
 from pollenkeel_jobs.core.vms import Vm
@@ -85,12 +88,19 @@
         Source of time.
     interference : InterferenceModel
         Learned interference between images.
+    settings : SchedulingSettings, optional
+        Policies that are switched on; none by default.
     """
 
     def __init__(
-        self, epoch: int, clock: Clock, interference: InterferenceModel
+        self,
+        epoch: int,
+        clock: Clock,
+        interference: InterferenceModel,
+        settings: SchedulingSettings | None = None,
     ) -> None:
         self.epoch = epoch
+        self._settings = settings or SchedulingSettings()
         self.wake = threading.Event()
         self._clock = clock
         self._lock = threading.RLock()
@@ -121,8 +131,16 @@
         self._orders = StartOrders(
             self._control, self._jobs, self._fleet, self._tickets, clock
         )
+        speeds = VmSpeeds()
+        self._forecast = RunForecast(speeds)
         self._reports = ReportProcessor(
-            epoch, self._control, self._jobs, self._fleet, interference, self.wake
+            epoch,
+            self._control,
+            self._jobs,
+            self._fleet,
+            interference,
+            self.wake,
+            speeds,
         )
         self._wait_log = WaitLog()
         self._next_idle_update_at = 0.0
