Reject jobs at once that would end too late to be of use

Cause: nothing was refused for load. A job behind a backlog of several times its objective was accepted and waited, and its client did not know that the result could not be of use any more. Off by default (setting `admission`). Ruled out: refusing jobs that would merely be late, since a late job is still worth something and estimates are often wrong by half. Not measured on a deployment yet.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -12,6 +12,7 @@
 import logbook
 from result import Err, Result
 
+from pollenkeel_jobs.core.admission import Admission
 from pollenkeel_jobs.core.advice import AdviceService
 from pollenkeel_jobs.core.contact import LeaderContact
 from pollenkeel_jobs.core.gateway import Gateway
@@ -109,7 +110,8 @@
             settings.id, settings.advertised_address, tables, clock, settings.cpu
         )
         self._contact = LeaderContact(settings.id, self._leadership, clock)
-        self.gateway = Gateway(settings.id, tables, self._contact, clock)
+        admission = Admission() if settings.scheduling.admission else None
+        self.gateway = Gateway(settings.id, tables, self._contact, clock, admission)
         self._server = ReplyServer(
             settings.peer_address, settings.id, clock, self._handle
         )
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
@@ -9,10 +9,12 @@
 import logbook
 from result import Err, Ok, Result
 
+from pollenkeel_jobs.core.admission import Admission
 from pollenkeel_jobs.core.contact import LeaderContact
 from pollenkeel_jobs.core.intake import IntakeWriter
 from pollenkeel_jobs.core.messages import (
     JobNotice,
+    JobNoticeReply,
     JobQuery,
     JobQueryReply,
     QueueQuery,
@@ -77,11 +79,19 @@
         Sends messages to the current leader.
     clock : Clock
         Source of time.
+    admission : Admission, optional
+        Rejects jobs that would end too late; without it none is rejected for load.
     """
 
     def __init__(
-        self, name: str, tables: TableService, contact: LeaderContact, clock: Clock
+        self,
+        name: str,
+        tables: TableService,
+        contact: LeaderContact,
+        clock: Clock,
+        admission: Admission | None = None,
     ) -> None:
+        self._admission = admission
         self._name = name
         self._tables = tables
         self._contact = contact
@@ -108,24 +118,17 @@
         -------
         Result[None, Refusal]
             ``STORE_UNAVAILABLE`` (2003) if the job is certainly not stored and never
-            will be, ``WRITE_UNKNOWN`` (3006) if that is not known. Submitting a stored
-            job again succeeds.
+            will be, ``WRITE_UNKNOWN`` (3006) if that is not known, and
+            ``BACKLOG_FULL`` (2020) if the job would end too late to be of use; it is
+            not stored then. Submitting a stored job again succeeds.
         """
+        refusal = self._find_overload(spec)
+        if refusal is not None:
+            return self._refuse(spec, refusal)
         row = encode_job(attrs.evolve(spec, accepted_at=self._clock.now()))
         result = self._writer.write(RelayedRow(JOBS, spec.job_id, row, 0), deadline)
         if isinstance(result, Err):
-            JOBS_SUBMITTED.labels(result.err_value.code.value).inc()
-            log_change(
-                logger,
-                "job not accepted",
-                job=spec.job_id,
-                queue=spec.queue.name,
-                cpu_seconds=round(spec.cpu_seconds, 1),
-                best_effort=spec.best_effort,
-                code=result.err_value.code.value,
-                cause=result.err_value.detail,
-            )
-            return result
+            return self._refuse(spec, result.err_value)
         JOBS_SUBMITTED.labels(Code.OK.value).inc()
         log_change(
             logger,
@@ -142,6 +145,36 @@
             )
         return Ok(None)
 
+    def _find_overload(self, spec: JobSpec) -> Refusal | None:
+        """Return why a new job is not accepted because of the load, or None if it is.
+
+        A job that is stored already, or may be, is not refused.
+        """
+        now = self._clock.now()
+        rejection = self._admission and self._admission.find_rejection(spec, now)
+        if not rejection or self.find_state(spec.job_id) != Ok(None):
+            return None
+        return Refusal(
+            Code.BACKLOG_FULL,
+            f"it would wait {rejection.wait:.1f} s and be late after "
+            f"{rejection.allowed:.1f} s",
+            rejection.retry_at,
+        )
+
+    def _refuse(self, spec: JobSpec, refusal: Refusal) -> Result[None, Refusal]:
+        JOBS_SUBMITTED.labels(refusal.code.value).inc()
+        log_change(
+            logger,
+            "job not accepted",
+            job=spec.job_id,
+            queue=spec.queue.name,
+            cpu_seconds=round(spec.cpu_seconds, 1),
+            best_effort=spec.best_effort,
+            code=refusal.code.value,
+            cause=refusal.detail,
+        )
+        return Err(refusal)
+
     def cancel(self, job_id: str, deadline: float) -> Result[bool, Refusal]:
         """Store a cancellation; the result is False if there is no such job.
 
@@ -225,7 +258,11 @@
     def _send_notices(self) -> None:
         while True:
             notice = self._notices.get()
-            if self._contact.ask(notice, _NOTICE_SECONDS) is None:
+            reply = self._contact.ask(notice, _NOTICE_SECONDS)
+            if reply is None:
                 log_change(
                     logger, "leader did not reply to a notice", job=notice.job_id
                 )
+            elif self._admission is not None:
+                waits = reply.waits if isinstance(reply, JobNoticeReply) else ()
+                self._admission.record(waits, self._clock.now())
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -22,6 +22,7 @@
 from pollenkeel_jobs.core.messages import (
     Done,
     JobNotice,
+    JobNoticeReply,
     JobQuery,
     JobQueryReply,
     QueueQuery,
@@ -477,6 +478,11 @@
         result = self._tables.transact(transaction)
         return result.err_value.kind.name if isinstance(result, Err) else ""
 
+    def _acknowledge_notice(self, now: float) -> Message:
+        """Return the reply to a notice; earlier releases know only ``Done``."""
+        waits = self.scheduler.list_waits()
+        return JobNoticeReply(self.name, now, waits) if waits else Done(self.name, now)
+
     def _describe_job(self, job_id: str) -> JobQueryReply:
         now = self.clock.now()
         if not self._loaded:
@@ -497,7 +503,7 @@
         if isinstance(message, JobNotice):
             if self._loaded:
                 self.apply_row(message.job_id, message.row)
-            return Done(self.name, now)
+            return self._acknowledge_notice(now)
         if isinstance(message, RelayWrite):
             return RelayWriteReply(self.name, now, self._write_relayed(message))
         if isinstance(message, JobQuery):
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -320,6 +320,32 @@
     row: bytes = b""
 
 
+@attrs.frozen
+class ServiceWait:
+    """Expected wait of a new job for its first start.
+
+    Attributes
+    ----------
+    service : str
+        Service whose workers run the job.
+    priority : int
+        Priority of the job's queue; 0 is the highest.
+    seconds : float
+        Time that the waiting work of this and of higher priorities takes.
+    """
+
+    service: str
+    priority: int
+    seconds: float
+
+
+@attrs.frozen
+class JobNoticeReply(Message):
+    """Acknowledges a notice, with what new jobs have to wait for."""
+
+    waits: list[ServiceWait] = attrs.field(factory=list)
+
+
 @attrs.frozen
 class RelayedRow:
     """Row that another process is to write if it has the expected version.
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
@@ -42,6 +42,12 @@
     buckets=LATENCY_BUCKETS,
     registry=REGISTRY,
 )
+EXPECTED_WAIT_SECONDS = Gauge(
+    "pollenkeel_expected_wait_seconds",
+    "Expected wait of a new job for its first start; none if it is short.",
+    ["service", "priority"],
+    registry=REGISTRY,
+)
 IDLE_JOBS = Gauge(
     "pollenkeel_idle_jobs",
     "Jobs with a task that waits for a VM and without a run.",
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -13,6 +13,7 @@
 import logbook
 
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketCache
+from pollenkeel_jobs.core.backlog import BacklogEstimator
 from pollenkeel_jobs.core.collection import paused_collection
 from pollenkeel_jobs.core.explanation import describe_job
 from pollenkeel_jobs.core.first_runs import FirstRuns
@@ -23,6 +24,7 @@
 from pollenkeel_jobs.core.messages import (
     InterferingPair,
     OrderOutcome,
+    ServiceWait,
     VmReport,
     VmReportReply,
 )
@@ -133,6 +135,7 @@
         )
         speeds = VmSpeeds()
         self._forecast = RunForecast(speeds)
+        self._backlog = BacklogEstimator(self._forecast)
         self._reports = ReportProcessor(
             epoch,
             self._control,
@@ -221,6 +224,11 @@
         with self._lock:
             return self._jobs.count_waiting(queue)
 
+    def list_waits(self) -> list[ServiceWait]:
+        """Return how long new jobs have to wait, by service and priority."""
+        with self._lock:
+            return self._backlog.waits
+
     def forget_old_jobs(self) -> list[str]:
         """Drop old jobs; return the ids of those whose rows are to be deleted."""
         with self._lock:
@@ -370,6 +378,7 @@
                 self._control.give_up(task)
             self._jobs.add_due_occurrences()
             self._place_ready_tasks()
+            self._estimate_backlog()
             self._update_idle_jobs()
             self._stop_tasks_to_migrate()
             self._stop_preempted_tasks()
@@ -484,6 +493,12 @@
         obstacle = self._fleet.find_obstacle(vm, self._clock.now())
         return obstacle or self._placement.find_obstacle(task, vm)
 
+    def _estimate_backlog(self) -> None:
+        if self._settings.admission:
+            self._backlog.update(
+                self._jobs.ready, self._fleet.usable(), self._clock.now()
+            )
+
     def _update_idle_jobs(self) -> None:
         now = self._clock.now()
         if now >= self._next_idle_update_at:
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/refusal.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/refusal.py
@@ -17,10 +17,14 @@
         Numbered result code.
     detail : str
         What was rejected or failed, with the offending value.
+    retry_at : float
+        Time from which a repeat may succeed, in seconds since the Unix epoch; 0 if it
+        is not known.
     """
 
     code: Code
     detail: str = ""
+    retry_at: float = 0.0
 
     @property
     def outcome(self) -> Outcome:
