Check an operator configuration before it is sent

Cause: a mistake in op/config showed only once it was in force, as 404 for callers or as jobs that no VM may run. Each kind of finding is a rule of its own with a numbered code (5001, 5002 and the new 5005 and 5006).

--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/codes.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/codes.py
@@ -68,6 +68,8 @@
     VERSION_CONFLICT = 5002
     UNKNOWN_DATA_CENTRE = 5003
     NO_CONFIG = 5004
+    NEVER_MATCHES = 5005
+    LIMITS_CONTRADICT = 5006
 
     TASK_FAILED = 6001
     LEASE_LAPSED = 6002
@@ -143,6 +145,8 @@
     Code.VERSION_CONFLICT: "the configuration was changed by somebody else",
     Code.UNKNOWN_DATA_CENTRE: "the configuration has no such data centre",
     Code.NO_CONFIG: "no configuration has been accepted yet",
+    Code.NEVER_MATCHES: "the entry of the configuration can never match",
+    Code.LIMITS_CONTRADICT: "limits in the configuration contradict each other",
     Code.TASK_FAILED: "the task ended with an error",
     Code.LEASE_LAPSED: "the lease of the attempt lapsed",
     Code.EVICTED: "the task was checkpointed and moved off its VM",
