Count a failure only if another worker could have shown the difference

Failed runs of two different jobs in a row close a worker for 4 s, later ones for up to 30 s. A failure is retracted once the task fails elsewhere as well, which is impossible if only this worker may run it (label, service, size).

A failure now counts only if another VM that takes starts, or will after its quarantine, could run the task beside the long-running tasks there. Ruled out: comparing the room that is free at the moment, because a full fleet would then never close a worker; and counting the failures for each label, because work without a label would still draw its workers into the quarantine.

An operator sees the line "failure not counted against its worker" and a counter.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -38,6 +38,8 @@
 _FIRST_LISTS_SECONDS = 2.0
 #: Seconds for which the operators' settings are valid after they were read.
 _OPERATIONS_VALID_SECONDS = 4.0
+#: Obstacle of a VM whose worker failed too many tasks in a row.
+_QUARANTINE = "quarantine"
 
 
 def have_same_worker(incarnation: str, other: str) -> bool:
@@ -127,9 +129,16 @@
         if not obstacle and not self.is_open(vm.zone):
             return "closed data centre"
         if not obstacle and not self.quarantine.allowed(vm.incarnation, now):
-            return "quarantine"
+            return _QUARANTINE
         return obstacle
 
+    def iterate_others(self, vm: Vm) -> Iterator[Vm]:
+        """Yield the other VMs that take starts, now or after their quarantine."""
+        now = self._clock.now()
+        for other in self.vms():
+            if other is not vm and self.find_obstacle(other, now) in ("", _QUARANTINE):
+                yield other
+
     def begin_incarnation(self, vm: Vm, incarnation: str) -> list[Task]:
         """Replace the incarnation of a VM's worker.
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
@@ -30,6 +30,11 @@
 RUNS_ENDED = Counter(
     "pollenkeel_runs_ended", "Runs that ended, by how.", ["how"], registry=REGISTRY
 )
+FAILURES_NOT_COUNTED = Counter(
+    "pollenkeel_failures_not_counted",
+    "Failed runs that do not count against their worker, as no other could run them.",
+    registry=REGISTRY,
+)
 RUNS_LOST = Counter(
     "pollenkeel_runs_lost",
     "Runs that were put back, by cause.",
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/reports.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from pollenkeel_jobs.core.alternatives import could_run
 from pollenkeel_jobs.core.crashes import (
     find_unreported_crash,
     record_crash,
@@ -16,7 +17,7 @@
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
 from pollenkeel_jobs.core.messages import EndedTask, VmReport
-from pollenkeel_jobs.core.metrics import RUNS_ENDED
+from pollenkeel_jobs.core.metrics import FAILURES_NOT_COUNTED, RUNS_ENDED
 from pollenkeel_jobs.core.model import JobStatus, Task, TaskState, parse_task_id
 from pollenkeel_jobs.core.progress import (
     store_checkpoint,
@@ -300,13 +301,23 @@
     def _record_vm_result(self, vm: Vm, task: Task, failed: bool, now: float) -> None:
         """Update the worker's quarantine and the VM's slowness from an ended run.
 
-        A task that has failed on another worker as well fails by its own fault.
+        A task that has failed on another worker as well fails by its own fault. If no
+        other worker could run the task, its failure does not tell whose fault it is.
         """
         quarantine, job_id = self._fleet.quarantine, task.job.spec.job_id
         others = task.failed_on - {vm.incarnation}
         if failed and others:
             for worker in others:
                 quarantine.retract(worker, job_id)
+        elif failed and not could_run(task, self._fleet.iterate_others(vm)):
+            log_change(
+                logger,
+                "failure not counted against its worker",
+                task=task.task_id,
+                run=task.run,
+                worker=vm.incarnation,
+            )
+            FAILURES_NOT_COUNTED.inc()
         else:
             quarantine.record(vm.incarnation, job_id, failed, now)
         if not failed:
