Place work that only a closed worker can run without a wait

A worker that was closed by failures of other work stayed closed for up to 30 s for work that no other worker can run, too, beside free room.

A task that has waited for 1.5 s and that no open worker could run beside the long-running tasks there is now placed on a closed one; first runs and gangs included. Its success ends the quarantine. Ruled out: ending the wait as soon as no open worker has room, because the work of a full fleet would go to a worker that fails everything; and a shorter quarantine for all, because it is what keeps work from such a worker.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -123,6 +123,11 @@
         now = self._clock.now()
         return [vm for vm in self.vms() if not self.find_obstacle(vm, now)]
 
+    def list_quarantined(self) -> list[Vm]:
+        """Return the VMs that receive no starts only because of their quarantine."""
+        now = self._clock.now()
+        return [vm for vm in self.vms() if self.find_obstacle(vm, now) == _QUARANTINE]
+
     def find_obstacle(self, vm: Vm, now: float) -> str:
         """Return why a VM may receive no starts, or an empty string if it may."""
         obstacle = vm.find_obstacle(now)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
@@ -27,6 +27,11 @@
 RUNS_PLACED = Counter(
     "pollenkeel_runs_placed", "Runs that were placed on a VM.", registry=REGISTRY
 )
+CLOSED_WORKER_STARTS = Counter(
+    "pollenkeel_closed_worker_starts",
+    "Runs that were placed on a worker in quarantine, as no other could run them.",
+    registry=REGISTRY,
+)
 RUNS_ENDED = Counter(
     "pollenkeel_runs_ended", "Runs that ended, by how.", ["how"], registry=REGISTRY
 )
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement_log.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement_log.py
@@ -101,6 +101,18 @@
     return task.job.spec.job_id, task.key.occurrence, task.key.step
 
 
+def log_closed_worker_start(task: Task, vm: Vm, now: float) -> None:
+    """Log that a task was placed on a VM in quarantine, as no other could run it."""
+    log_change(
+        logger,
+        "task placed on a worker in quarantine",
+        task=task.task_id,
+        run=task.run,
+        vm=vm.name,
+        waited=round(now - task.ready_at, 3),
+    )
+
+
 def log_interference(interference: InterferenceModel, vms: Iterable[Vm]) -> None:
     """Log what limits the placement of best-effort tasks."""
     milli = 1000
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 
 import attrs
 
 from pollenkeel_jobs.core.advice import TicketCache
 from pollenkeel_jobs.core.candidates import Candidates, make_candidate_key
+from pollenkeel_jobs.core.closed_workers import ClosedWorkers
 from pollenkeel_jobs.core.first_runs import FirstRuns
 from pollenkeel_jobs.core.gangs import choose_for_gang
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
@@ -88,7 +89,9 @@
         """
         return self._unplaced_by_kind.values()
 
-    def place(self, vms: list[Vm], now: float) -> Iterator[Placed]:
+    def place(
+        self, vms: list[Vm], now: float, closed_vms: Sequence[Vm] = ()
+    ) -> Iterator[Placed]:
         """Yield the placements of one pass; a step that does not fit is skipped.
 
         Each kind of demand is searched for until a task of it fits on no VM. The caller
@@ -101,6 +104,8 @@
             VMs that may receive starts.
         now : float
             Current time in seconds since the Unix epoch.
+        closed_vms : sequence of Vm, optional
+            VMs in quarantine, for tasks that no other VM could run.
         """
         self._placement.now = now
         self._unplaced_by_kind = {}
@@ -110,10 +115,36 @@
         if not self._jobs.ready:
             return
         yield from self._place_reserved(vms)
+        closed = ClosedWorkers(vms, list(closed_vms), now)
         unplaceable = Unplaceable(self._placement, vms)
-        yield from self._place_first_runs(unplaceable, vms, now)
+        yield from self._place_first_runs(unplaceable, vms, closed, now)
+        placeable = self._iterate_placeable(unplaceable, vms, now)
+        yield from self._place_by_urgency(placeable, unplaceable, vms)
+        if closed.vms:
+            yield from self._place_on_closed(closed, vms, now)
+
+    def _place_on_closed(
+        self, closed: ClosedWorkers, vms: list[Vm], now: float
+    ) -> Iterator[Placed]:
+        """Place the tasks that need VMs in quarantine, maybe beside the other VMs."""
+        all_vms = [*vms, *closed.vms]
+        unplaceable = Unplaceable(self._placement, all_vms)
+        placeable = (
+            (kind, task)
+            for kind, task in self._iterate_placeable(unplaceable, all_vms, now)
+            if closed.are_needed_for(kind, task)
+        )
+        yield from self._place_by_urgency(placeable, unplaceable, all_vms)
+
+    def _place_by_urgency(
+        self,
+        placeable: Iterable[tuple[DemandKind, Task]],
+        unplaceable: Unplaceable,
+        vms: list[Vm],
+    ) -> Iterator[Placed]:
+        """Place waiting tasks in the given order, each kind until it fits nowhere."""
         candidates: Candidates | None = None
-        for kind, task in self._iterate_placeable(unplaceable, vms, now):
+        for kind, task in placeable:
             if task.crashed_on and not self._may_try(task, vms):
                 self._record_unplaced(kind, task)
                 if is_tried_apart(task):
@@ -185,23 +216,29 @@
             yield from placements
 
     def _place_first_runs(
-        self, unplaceable: Unplaceable, vms: list[Vm], now: float
+        self, unplaceable: Unplaceable, vms: list[Vm], closed: ClosedWorkers, now: float
     ) -> Iterator[Placed]:
         """Place one task, or one gang, of each job that has had no run for long."""
         placement = self._first_runs.placement
         placement.now = now
+        all_vms = [*vms, *closed.vms]
         for task in self._first_runs.choose(self._jobs.ready, now):
-            if unplaceable.rules_out(self._jobs.ready.get_kind(task)):
+            kind = self._jobs.ready.get_kind(task)
+            if closed.are_needed_for(kind, task):
+                usable = all_vms
+            elif unplaceable.rules_out(kind):
                 continue
-            if task.crashed_on and not self._may_try(task, vms):
+            else:
+                usable = vms
+            if task.crashed_on and not self._may_try(task, usable):
                 continue
             if task.step.gang:
-                placements = self._place_gang(task, vms, placement)
+                placements = self._place_gang(task, usable, placement)
             else:
-                allowed = self._filter_by_ticket(task, vms)
+                allowed = self._filter_by_ticket(task, usable)
                 placements = _place_task(task, Candidates(task, allowed, placement))
             if not placements:
-                self._request_more_tickets(task, vms, placement)
+                self._request_more_tickets(task, usable, placement)
             yield from placements
 
     def _iterate_placeable(
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -26,7 +26,11 @@
     VmReport,
     VmReportReply,
 )
-from pollenkeel_jobs.core.metrics import RUNS_PLACED, WAIT_SECONDS
+from pollenkeel_jobs.core.metrics import (
+    CLOSED_WORKER_STARTS,
+    RUNS_PLACED,
+    WAIT_SECONDS,
+)
 from pollenkeel_jobs.core.migration import Migration
 from pollenkeel_jobs.core.model import Job, JobState, JobStatus, Task, TaskState
 from pollenkeel_jobs.core.names import INTERFERENCE, INTERFERENCE_KEY
@@ -39,7 +43,11 @@
     RecordedEnds,
 )
 from pollenkeel_jobs.core.placement import FirstRunPlacement, LeastLoaded
-from pollenkeel_jobs.core.placement_log import WaitLog, log_interference
+from pollenkeel_jobs.core.placement_log import (
+    WaitLog,
+    log_closed_worker_start,
+    log_interference,
+)
 from pollenkeel_jobs.core.preemption import Preemption
 from pollenkeel_jobs.core.progress_rows import ProgressBatch, ProgressTooLargeError
 from pollenkeel_jobs.core.ready_queue import Placed, ReadyQueue
@@ -472,9 +480,12 @@
 
     def _place_ready_tasks(self) -> None:
         now = self._clock.now()
-        vms = self._fleet.usable()
-        for placed in self._queue.place(vms, now):
+        vms, closed_vms = self._fleet.usable(), self._fleet.list_quarantined()
+        for placed in self._queue.place(vms, now, closed_vms):
             self._record_placement(placed, now)
+            if placed.vm in closed_vms:
+                CLOSED_WORKER_STARTS.inc()
+                log_closed_worker_start(placed.task, placed.vm, now)
         self._wait_log.record(
             self._queue.unplaced, self._fleet.vms(), self._find_obstacle, now
         )
--- a/packages/pollenkeel-jobs/tests/core/test_sole_workers.py
+++ b/packages/pollenkeel-jobs/tests/core/test_sole_workers.py
@@ -95,3 +95,81 @@
         if is_closed(site, failing) and not site.running:
             return
     raise AssertionError("not closed")
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {},
+        {"long_running": True},
+        {"fills": True},
+        {"gang": True},
+        {"spread_limit": 3},
+    ],
+)
+def test_work_that_only_a_closed_worker_can_run_does_not_wait(clock, fields):
+    """Guards against a wait for the end of a quarantine that nothing else can bound."""
+    site = Site(clock, vms=3, cpu=8000)
+    close_first_vm(site)
+    fleet = site.scheduler._fleet
+    # Many failed probes make the pause as long as it gets.
+    fleet.quarantine._records_by_vm[site.vms[0].incarnation].probe_after += 26.0
+    step = make_step(3, label=SOLE, **fields)
+    site.scheduler.add_job(make_job("good", (step,), accepted_at=clock.now()))
+    assert wait_for_runs(site, 3) < MAX_WAIT
+
+
+def test_gang_that_needs_a_closed_worker_beside_open_ones_does_not_wait(clock):
+    """Guards against a gang that waits since the open workers take most of it."""
+    site = Site(clock, vms=3)
+    close_first_vm(site)
+    site.scheduler.add_job(make_job("good", (make_step(10, gang=True),)))
+    assert wait_for_runs(site, 10) < MAX_WAIT
+    assert {vm.name for vm in site.vms if vm.running} == {"vm-0", "vm-1", "vm-2"}
+
+
+def test_long_running_task_does_not_wait_for_peers_that_never_end(clock):
+    """Guards against a wait for the room of long-running tasks on open workers."""
+    site = Site(clock, vms=3)
+    close_first_vm(site)
+    site.scheduler.add_job(make_job("first", (make_step(8, long_running=True),)))
+    site.step()
+    assert not site.vms[0].running
+    site.scheduler.add_job(make_job("good", (make_step(long_running=True),)))
+    assert wait_for_runs(site, 1) < MAX_WAIT
+
+
+def test_success_of_such_work_ends_the_quarantine(clock):
+    """Guards against a worker that stays closed although it does its work."""
+    site = Site(clock, vms=3)
+    close_first_vm(site)
+    site.scheduler.add_job(make_job("good", (make_step(label=SOLE),)))
+    wait_for_runs(site, 1)
+    site.vms[0].end("good.0.0.0")
+    site.step()
+    assert not is_closed(site, site.vms[0])
+
+
+def test_closed_worker_gets_no_work_that_others_could_run(clock):
+    """Guards against jobs that fail on a bad worker while the others are full."""
+    site = Site(clock, vms=3)
+    close_first_vm(site)
+    site.scheduler.add_job(make_job("busy", (make_step(8),)))
+    site.scheduler.add_job(make_job("good", (make_step(4),)))
+    for _ in range(int(3.5 / STEP_SECONDS)):
+        clock.advance(STEP_SECONDS)
+        site.step()
+        assert not site.vms[0].running
+    assert len(site.running) == 8
+
+
+def test_closed_worker_gets_no_work_in_a_closed_data_centre(clock):
+    """Guards against starts that operators have forbidden."""
+    site = Site(clock, vms=3)
+    close_first_vm(site)
+    site.open(closed=["z0"])
+    site.scheduler.add_job(make_job("good", (make_step(label=SOLE),)))
+    for _ in range(int(5.0 / STEP_SECONDS)):
+        clock.advance(STEP_SECONDS)
+        site.step()
+    assert not site.running
