--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/speculation.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/speculation.py
@@ -271,7 +271,8 @@
     The failure of a copy alone must not use up the attempts. A suspect of crashes could
     crash another worker. Best-effort tasks are slow because they are throttled, and a
     copy of an advised task would need a ticket. A superseded run is not counted for the
-    spread limit until it has ended.
+    spread limit until it has ended. A run that was given up may have been done, and its
+    end may be acknowledged already.
     """
     step, queue = task.step, task.job.spec.queue
     return (
@@ -284,7 +285,7 @@
         and task.copied_run < task.run
         and not task.stop_wanted
         and not task.job.status.final
-        and not task.crashed_on
+        and not (task.crashed_on or task.unheard_runs)
         and task.failures + 1 < queue.attempts
     )
 
--- a/packages/pollenkeel-jobs/tests/core/test_run_copies.py
+++ b/packages/pollenkeel-jobs/tests/core/test_run_copies.py
@@ -181,6 +181,18 @@
     assert play.runs == [1]
 
 
+def test_no_copy_if_an_earlier_run_was_given_up(clock):
+    """Guards against a copy after the acknowledged, ignored end of an earlier run."""
+    play = CopyPlay(clock, settings=OFF)
+    silent = play.find_vm(1)
+    play.lose(silent)
+    silent.end(SLOW)
+    silent.away = False
+    play.change_leader(ON)
+    play.step(8)
+    assert play.runs == [2]
+
+
 def test_no_copy_for_more_than_a_tenth_of_the_running_tasks(clock):
     play = CopyPlay(clock, attrs.evolve(STEP, count=9))
     play.step(12)
