Let copies use VMs up to their full expected load

Cause: the expected load includes best-effort tasks, which fill VMs to a load of about 1, so the limit of 0.85 would leave no VM for copies on a fleet with best-effort work. Ruled out: no limit at all; a copy would be slow where tasks already exceed the cores.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/speculation.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/speculation.py
@@ -45,9 +45,9 @@
 _MARGIN_IF_DECLARED = 6.0
 #: Number of running peers with a known pace from which on their median is used.
 _MIN_PEERS = 2
-#: Expected CPU load of a VM, as a share of its capacity, up to which it gets copies. On
-#: a busier one a copy would be slow, and slow others down.
-_MAX_LOAD = 0.85
+#: Expected CPU load of a VM with the copy, as a share of its capacity, up to which it
+#: gets copies. Beyond it a copy would be slow, and slow others down.
+_MAX_LOAD = 1.0
 #: Obstacles that a waiting task has on a VM whatever resources are free there.
 _OTHER_OBSTACLES = frozenset({SERVICE, LABEL, SPREAD_LIMIT, INTERFERENCE})
 
