--- a/packages/pollenkeel-jobs/tests/jobs_doubles.py
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -218,6 +218,7 @@
     def __init__(self, clock, vms=1, settings=None, **vm_settings):
         self.clock = clock
         self.interference = InterferenceModel()
+        self.settings = settings
         self.scheduler = Scheduler(EPOCH, clock, self.interference, settings)
         self.vms = [
             VmDouble(self.scheduler, clock, f"vm-{n}", f"z{n}", **vm_settings)
@@ -265,9 +266,12 @@
         return sorted(run.task_id for vm in self.vms for run in vm.running)
 
 
-def succeed(site, jobs=()):
-    """Return the site of a new leader; ``jobs`` are those that the site knows."""
-    successor = Site(site.clock, vms=len(site.vms))
+def succeed(site, jobs=(), settings=None):
+    """Return the site of a new leader; ``jobs`` are those that the site knows.
+
+    Its settings are those of the site unless others are given.
+    """
+    successor = Site(site.clock, vms=len(site.vms), settings=settings or site.settings)
     successor.scheduler.load(
         (encode_job(job), site.rows_by_key.get((PROGRESS, job.job_id))) for job in jobs
     )
