Keep room for large tasks that fit on no VM, as a setting

Cause: small tasks take each piece of room as it becomes free, so that a large task waits for as long as they keep coming.

Ruled out: room for every waiting task (conservative backfilling), as plans change with each end; room for tasks no larger than the others, which took all places in the test with a stream of small tasks, so that the large one still waited.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/explanation.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/explanation.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from pollenkeel_jobs.core.model import Job, StepTasks, Task, TaskState
+from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.codes import Code
 
@@ -25,7 +26,10 @@
 
 
 def describe_job(
-    job: Job, vms: Iterable[Vm], find_obstacle: Callable[[Task, Vm], str]
+    job: Job,
+    vms: Iterable[Vm],
+    find_obstacle: Callable[[Task, Vm], str],
+    reservations: Reservations,
 ) -> dict[str, Any]:
     """Return a job with its open steps and the tasks that are not done.
 
@@ -37,6 +41,8 @@
         All VMs.
     find_obstacle : callable
         Returns why a task may not run on a VM, or an empty string.
+    reservations : Reservations
+        Room that is kept for waiting tasks.
 
     Returns
     -------
@@ -60,7 +66,9 @@
             _describe_step(step, vms, find_obstacle)
             for step in islice(steps, MAX_STEPS)
         ),
-        "tasks": [_describe_task(task, vms) for task in islice(tasks, MAX_TASKS)],
+        "tasks": [
+            _describe_task(task, vms, reservations) for task in islice(tasks, MAX_TASKS)
+        ],
     }
 
 
@@ -110,7 +118,9 @@
     return names_by_obstacle
 
 
-def _describe_task(task: Task, vms: list[Vm]) -> dict[str, Any]:
+def _describe_task(
+    task: Task, vms: list[Vm], reservations: Reservations
+) -> dict[str, Any]:
     """Return a task with its latest run."""
     state = _get_state(task)
     run = {"vm": _find_vm_name(task, vms), "placed_at": task.placed_at}
@@ -122,6 +132,7 @@
         "failures": task.failures,
         "code": Code.OK.value,
         "detail": ", ".join(_iter_details(task, state)),
+        "kept_room": reservations.describe(task),
     }
 
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
@@ -42,6 +42,12 @@
     buckets=LATENCY_BUCKETS,
     registry=REGISTRY,
 )
+KEPT_ROOMS = Counter(
+    "pollenkeel_kept_rooms",
+    "Times that room on a VM was kept for a waiting task, by how that ended.",
+    ["outcome"],
+    registry=REGISTRY,
+)
 IDLE_JOBS = Gauge(
     "pollenkeel_idle_jobs",
     "Jobs with a task that waits for a VM and without a run.",
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -14,7 +14,7 @@
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.pacing import MIN_HEADROOM
-from pollenkeel_jobs.core.reservations import Reservations
+from pollenkeel_jobs.core.reservations import Reservation, Reservations
 from pollenkeel_jobs.core.trials import (
     awaits_order,
     has_waited_for_trial,
@@ -102,6 +102,17 @@
         Where such a best-effort task may not run, none of its kind of demand may.
         """
 
+    @abstractmethod
+    def get_claim(self, task: Task) -> Hashable:
+        """Return what decides, besides its step, which kept room a task may use."""
+
+    @abstractmethod
+    def is_kept_back(self, task: Task, vms: Iterable[Vm]) -> bool:
+        """Return whether kept room is all that a task lacks on one of the VMs.
+
+        Others of its kind of demand may use that room if they are expected to end soon.
+        """
+
     @abstractmethod
     def group(self, task: Task) -> Hashable:
         """Return what makes a VM's score differ between tasks of one step."""
@@ -145,6 +156,22 @@
             task.failed_on,
             task.crashed_on,
             has_waited_for_trial(task, self.now),
+            self.get_claim(task),
+        )
+
+    def get_claim(self, task: Task) -> Hashable:
+        """Return what decides, besides its step, which kept room a task may use."""
+        if self._reservations is None:
+            return False
+        return self._reservations.get_claim(task, self.now)
+
+    def is_kept_back(self, task: Task, vms: Iterable[Vm]) -> bool:
+        """Return whether kept room is all that a task lacks on one of the VMs."""
+        if self._reservations is None:
+            return False
+        kept = {reservation.vm for reservation in self._reservations.yielding()}
+        return bool(kept) and any(
+            vm in kept and self.find_obstacle(task, vm) == _RESERVED for vm in vms
         )
 
     def score(self, task: Task, vm: Vm) -> float | None:
@@ -171,10 +198,12 @@
         return "interference" if self.would_interfere_too_much(task, vm) else ""
 
     def _has_unreserved_room(self, task: Task, vm: Vm) -> bool:
-        if self._reservations is None:
-            return True
-        kept = self._reservations.get_demand(vm)
-        return kept is None or vm.has_room_for(task.step.reserved + kept)
+        reservation = self._reservations.find(vm) if self._reservations else None
+        return reservation is None or self._may_use(reservation, task)
+
+    def _may_use(self, reservation: Reservation, task: Task) -> bool:
+        """Return whether a task may run where room is kept for another one."""
+        return reservation.admits(task, self.now)
 
     def _score(self, task: Task, vm: Vm) -> float:
         step = task.step
@@ -265,6 +294,13 @@
         limit = _MAX_FIRST_RUN_MEMORY_SHARE * vm.capacity.memory
         return "memory" if used > limit else ""
 
+    def _may_use(self, reservation: Reservation, task: Task) -> bool:
+        """Return whether a task may run where room is kept for another one.
+
+        Its job has had no run for long, so it may use room that yields.
+        """
+        return reservation.yields or super()._may_use(reservation, task)
+
 
 def _find_unmet_demand(task: Task, vm: Vm, now: float) -> str:
     """Return what a VM lacks for a task, or an empty string."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -11,6 +11,7 @@
 from pollenkeel_jobs.core.first_runs import FirstRuns
 from pollenkeel_jobs.core.gangs import choose_for_gang
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
+from pollenkeel_jobs.core.look_ahead import LookAhead
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.placement import LABEL, SERVICE, Placement
 from pollenkeel_jobs.core.reservations import Reservations
@@ -59,6 +60,8 @@
         Room that is kept for waiting tasks.
     first_runs : FirstRuns
         Chooses the tasks that are placed ahead of the order by urgency.
+    look_ahead : LookAhead, optional
+        Keeps room that will soon be free for tasks that fit on no VM.
     """
 
     def __init__(
@@ -68,17 +71,21 @@
         placement: Placement,
         reservations: Reservations,
         first_runs: FirstRuns,
+        look_ahead: LookAhead | None = None,
     ) -> None:
         # By kind of demand and number of crashes.
         self._unplaced_by_kind: dict[tuple[DemandKind, int], Task] = {}
         # Unplaced tasks without crashes that ``_do_others_wait`` has not looked at.
         self._unplaced_to_check: list[Task] = []
         self._others_wait = False
+        # Candidates of the latest task; valid during a pass.
+        self._candidates: Candidates | None = None
         self._jobs = jobs
         self._tickets = tickets
         self._placement = placement
         self._reservations = reservations
         self._first_runs = first_runs
+        self._look_ahead = look_ahead
 
     @property
     def unplaced(self) -> Iterable[Task]:
@@ -106,13 +113,15 @@
         self._unplaced_by_kind = {}
         self._unplaced_to_check = []
         self._others_wait = False
+        if self._look_ahead:
+            self._look_ahead.begin_pass(vms, now)
         self._reservations.remove_ended(now)
         if not self._jobs.ready:
             return
         yield from self._place_reserved(vms)
         unplaceable = Unplaceable(self._placement, vms)
         yield from self._place_first_runs(unplaceable, vms, now)
-        candidates: Candidates | None = None
+        self._candidates = None
         for kind, task in self._iterate_placeable(unplaceable, vms, now):
             if task.crashed_on and not self._may_try(task, vms):
                 self._record_unplaced(kind, task)
@@ -122,19 +131,30 @@
             if not is_tried_apart(task) and unplaceable.rules_out(kind):
                 self._record_unplaced(kind, task)
                 self._filter_by_ticket(task, vms)
+                self._keep_room(task, kind, vms)
                 continue
             if task.step.gang:
-                candidates = None
+                self._candidates = None
                 placements = self._place_gang(task, vms, self._placement)
             else:
-                candidates = self._find_candidates(task, vms, candidates)
-                placements = _place_task(task, candidates)
+                placements = _place_task(task, self._find_candidates(task, vms))
             if placements:
                 yield from placements
+                if self._look_ahead:
+                    self._look_ahead.release(task)
             else:
                 unplaceable.add(kind, task)
                 self._record_unplaced(kind, task)
                 self._request_more_tickets(task, vms, self._placement)
+                self._keep_room(task, kind, vms)
+
+    def _keep_room(self, task: Task, kind: DemandKind, vms: list[Vm]) -> None:
+        """Keep room that will soon be free for a task that fits on no VM now."""
+        if self._look_ahead is None or not self._look_ahead.may_keep(kind):
+            return
+        if self._look_ahead.keep_room(task, kind, self._filter_by_ticket(task, vms)):
+            # They include the VM of the room.
+            self._candidates = None
 
     def _may_try(self, task: Task, vms: list[Vm]) -> bool:
         """Return whether a suspected task may begin a trial or join one."""
@@ -173,7 +193,8 @@
         """Place the tasks for which there is room now where it was kept for them."""
         for reservation in self._reservations:
             task = reservation.task
-            if reservation.vm not in vms:
+            # Room that yields is taken in the order by urgency.
+            if reservation.yields or reservation.vm not in vms:
                 continue
             if task.crashed_on and not self._may_try(task, vms):
                 continue
@@ -220,18 +241,18 @@
                     if step not in steps_ahead:
                         steps_ahead.add(step)
                         self._filter_by_ticket(task, vms)
+                self._keep_room(task, kind, vms)
             # Placing a gang has removed its other members.
             elif task in waiting and not unplaceable.contains(kind, task):
                 yield kind, task
 
-    def _find_candidates(
-        self, task: Task, vms: list[Vm], candidates: Candidates | None
-    ) -> Candidates:
+    def _find_candidates(self, task: Task, vms: list[Vm]) -> Candidates:
         """Return the candidates for a task: those of the task before if it is alike."""
         key = make_candidate_key(task, self._placement)
-        if candidates is not None and candidates.key == key:
-            return candidates
-        return Candidates(task, self._filter_by_ticket(task, vms), self._placement)
+        if self._candidates is None or self._candidates.key != key:
+            allowed = self._filter_by_ticket(task, vms)
+            self._candidates = Candidates(task, allowed, self._placement)
+        return self._candidates
 
     def _filter_by_ticket(self, task: Task, vms: list[Vm]) -> list[Vm]:
         """Return the VMs for which the task has a ticket, or all if it needs none."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -20,6 +20,7 @@
 from pollenkeel_jobs.core.idle_jobs import IdleJobs
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.job_table import JobTable
+from pollenkeel_jobs.core.look_ahead import LookAhead
 from pollenkeel_jobs.core.messages import (
     InterferingPair,
     OrderOutcome,
@@ -109,9 +110,14 @@
         self._tickets = TicketCache(clock)
         self._unsent_starts: list[PlannedStart] = []
         self._interference = interference
-        reservations = Reservations(self._jobs.ready)
+        reservations = self._reservations = Reservations(self._jobs.ready)
         self._placement = LeastLoaded(self._interference, reservations)
+        speeds = VmSpeeds()
+        self._forecast = RunForecast(speeds)
         self._idle_jobs = IdleJobs()
+        look_ahead = LookAhead(
+            self._jobs.ready, self._placement, reservations, self._forecast
+        )
         self._queue = ReadyQueue(
             self._jobs,
             self._tickets,
@@ -120,6 +126,7 @@
             FirstRuns(
                 self._idle_jobs, FirstRunPlacement(self._interference, reservations)
             ),
+            look_ahead if self._settings.look_ahead else None,
         )
         self._preemption = Preemption(
             self._jobs.ready, self._tickets, self._placement, reservations
@@ -131,8 +138,6 @@
         self._orders = StartOrders(
             self._control, self._jobs, self._fleet, self._tickets, clock
         )
-        speeds = VmSpeeds()
-        self._forecast = RunForecast(speeds)
         self._reports = ReportProcessor(
             epoch,
             self._control,
@@ -266,7 +271,9 @@
             job = self._jobs.find(job_id)
             if job is None:
                 return None
-            return describe_job(job, self._fleet.vms(), self._find_obstacle)
+            return describe_job(
+                job, self._fleet.vms(), self._find_obstacle, self._reservations
+            )
 
     # Advice.
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/unplaceable.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/unplaceable.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+from collections.abc import Hashable
+
 from pollenkeel_jobs.core.free_room import FreeRoom
 from pollenkeel_jobs.core.model import Job, Task
 from pollenkeel_jobs.core.placement import SPREAD_LIMIT, Placement
@@ -13,6 +16,9 @@
 StepKey = tuple[Job, int, int]
 #: Number of crashes, and whether the suspect has waited for long.
 _TrialKey = tuple[int, bool]
+#: Maximum number of steps of one kind that are tried in a pass if kept room is all that
+#: they lack. Bounds the time of a pass.
+_MAX_KEPT_BACK_STEPS = 20
 #: Kind of demand, step if it matters, and whether the task has waited long.
 _SuspectKey = tuple[DemandKind, _TrialKey, StepKey | None, bool]
 
@@ -42,6 +48,9 @@
         self._steps: set[StepKey] = set()
         self._trials: set[_TrialKey] = set()
         self._suspects: set[_SuspectKey] = set()
+        self._steps_kept_back: dict[tuple[DemandKind, Hashable], set[StepKey]] = (
+            defaultdict(set)
+        )
 
     def contains(self, kind: DemandKind, task: Task) -> bool:
         """Return whether a task fits on no VM, as far as is known.
@@ -60,8 +69,13 @@
                 and not self._placement.has_waited_long(task)
             )
             or (bool(self._steps) and get_step(task) in self._steps)
+            or (bool(self._steps_kept_back) and self._is_kept_back(kind, task))
         )
 
+    def _is_kept_back(self, kind: DemandKind, task: Task) -> bool:
+        steps = self._steps_kept_back.get((kind, self._placement.get_claim(task)), ())
+        return len(steps) >= _MAX_KEPT_BACK_STEPS or get_step(task) in steps
+
     def _make_suspect_key(self, kind: DemandKind, task: Task) -> _SuspectKey:
         """Return what suspects have in common of which all or none find a VM."""
         step = task.step
@@ -102,6 +116,9 @@
             self._suspects.add(self._make_suspect_key(kind, task))
         elif self._has_obstacle_of_its_own(kind, task):
             self._steps.add(get_step(task))
+        elif self._placement.is_kept_back(task, self._vms):
+            claim = self._placement.get_claim(task)
+            self._steps_kept_back[kind, claim].add(get_step(task))
         elif kind.best_effort and not self._placement.has_waited_long(task):
             self._kinds_not_waited_long.add(kind)
         else:
--- a/packages/pollenkeel-jobs/tests/jobs_doubles.py
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -215,10 +215,10 @@
 class Site:
     """A scheduler with VMs; ``step`` does one iteration of the leader's loop."""
 
-    def __init__(self, clock, vms=1, **vm_settings):
+    def __init__(self, clock, vms=1, settings=None, **vm_settings):
         self.clock = clock
         self.interference = InterferenceModel()
-        self.scheduler = Scheduler(EPOCH, clock, self.interference)
+        self.scheduler = Scheduler(EPOCH, clock, self.interference, settings)
         self.vms = [
             VmDouble(self.scheduler, clock, f"vm-{n}", f"z{n}", **vm_settings)
             for n in range(vms)
