Don't lead while the write of a resignation is open

Cause: `Leadership.resign` cleared the epoch only after the reply to its write. The lease is free as soon as the store applies the write, so with a slow or lost reply (up to 1 s) two entries led at the same time, and the former one still extended the leases of workers. The fencing of the rows was not affected.

The epoch is now cleared before the write. The new test fails on the code before (the process leads during the write).

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -414,8 +414,9 @@
             return
         with self._lock:
             record = LeaseRecord(self.epoch, self._holder, "", self._next_write())
-            result = self._write(record, self._version, ())
+            # Another entry can acquire the lease before the reply to the write arrives.
             self.epoch = 0
+            result = self._write(record, self._version, ())
         log_change(logger, "resigned", done=not isinstance(result, Err))
 
     def _next_write(self) -> int:
--- a/packages/pollenkeel-jobs/tests/core/test_leadership.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leadership.py
@@ -162,6 +162,24 @@
     assert second.observe(ask)
 
 
+def test_resigning_leader_does_not_lead_while_its_write_is_open(tables, clock, ask):
+    """Guards against two leaders while the reply to the resignation is under way."""
+    leader = make_leadership(tables, clock)
+    leader.observe(ask)
+    transact = tables.transact
+    states = []
+
+    def record_state(transaction, timeout=1.0):
+        result = transact(transaction, timeout)
+        states.append(leader.leads)
+        return result
+
+    tables.transact = record_state
+    leader.resign()
+    assert states == [False]
+    assert make_leadership(tables, clock, "entry-2").observe(ask)
+
+
 def make_sized_leadership(tables, clock, name, cpu):
     return Leadership(name, f"tcp://{name}", tables, clock, cpu)
 
