Hand over the lease to a chosen successor while an entry stops

Cause: an entry took no part in the election once it had got SIGTERM, so the lease stayed free beside processes that still served for seconds, and an entry that got SIGTERM while it started never led.

The leader names its successor (`succession.py`) and gives the lease up in the reply to that entry's query: one started after the restart began at once, another one from the end of draining, one that is stopping too only if it can lead longer. Rows and fencing are unchanged; a leader of an earlier release, which rejects the new fields of `LeaderQuery`, is asked again without them.

Ruled out: resigning by a write to a named holder, which others notice only by polling; waiting for a restarted entry until 4.5 s, which keeps every process away for 2 s longer.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -20,6 +20,7 @@
 from pollenkeel_jobs.core.messages import LeaderQuery, LeaderQueryReply
 from pollenkeel_jobs.core.operations import OperationsFeed
 from pollenkeel_jobs.core.scheduling_settings import SchedulingSettings
+from pollenkeel_jobs.core.succession import Succession
 from pollenkeel_jobs.core.tables import TableService
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.codes import Code
@@ -34,10 +35,10 @@
 _LEASE_POLL_SECONDS = 0.3
 #: Timeout for the lease holder's reply to the query whether it leads, in seconds.
 _LEADER_QUERY_SECONDS = 0.4
-#: Seconds after its query during which another entry counts as able to take over.
-_STANDBY_SECONDS = 1.5
-#: Seconds between checks for a successor while stopping.
-_STANDBY_POLL_SECONDS = 0.1
+#: Longest wait, before the first read of the lease row, for the operator configuration,
+#: without which a leader starts nothing, in seconds.
+_CONFIGURATION_SECONDS = 0.5
+_CONFIGURATION_POLL_SECONDS = 0.01
 #: Seconds between updates of the scheduler's operator configuration while leading.
 _OPERATIONS_POLL_SECONDS = 0.05
 
@@ -57,12 +58,15 @@
     advertised_address : str
         ``tcp://IP:PORT`` at which other processes reach it.
     hand_over_seconds : float
-        Longest time that a stopping leader waits for a successor, in seconds.
+        Longest time for which this process leads after it was told to stop, in seconds.
     cpu : float
         Processor capacity of the process, in cores; 0 if unknown. Entries with much
         more capacity than others are preferred as leader.
     scheduling : SchedulingSettings
         Policies that are switched on while this process leads.
+    drain_seconds : float
+        Time for which this process serves clients after it was told to stop, in
+        seconds.
     """
 
     id: str
@@ -72,6 +76,7 @@
     hand_over_seconds: float = 5.0
     cpu: float = 0.0
     scheduling: SchedulingSettings = SchedulingSettings()
+    drain_seconds: float = 0.0
 
 
 class Entry:
@@ -100,7 +105,7 @@
         advice: AdviceService,
     ) -> None:
         self._advice = advice
-        self._standby_seen_at = 0.0
+        self._started_at = clock.now()
         self.operations = operations
         self._settings = settings
         self._tables = tables
@@ -108,6 +113,9 @@
         self._leadership = Leadership(
             settings.id, settings.advertised_address, tables, clock, settings.cpu
         )
+        self._succession = Succession(
+            clock, settings.drain_seconds, settings.hand_over_seconds
+        )
         self._contact = LeaderContact(settings.id, self._leadership, clock)
         self.gateway = Gateway(settings.id, tables, self._contact, clock)
         self._server = ReplyServer(
@@ -120,26 +128,28 @@
         return self.operations.current.version > 0
 
     def run(self, stop: threading.Event) -> None:
-        """Follow the operator configuration and take part in elections until ``stop``.
+        """Follow the operator configuration and take part in elections.
 
-        A leader continues to lead until another entry can take over, at most for
-        ``hand_over_seconds``.
+        After ``stop`` this goes on, so that there is a leader as long as a process can
+        lead: until clients were served for ``drain_seconds`` and another entry leads,
+        at most for ``hand_over_seconds``.
         """
-        stopped = threading.Event()
+        finished = threading.Event()
         for target, args in (
-            (self.operations.run, (stopped,)),
-            (self._await_successor, (stop, stopped)),
+            (self.operations.run, (finished,)),
+            (self._limit_stop, (stop, finished)),
         ):
             threading.Thread(target=target, args=args, daemon=True).start()
 
         def take_part() -> None:
             if self._leadership.observe(self._query_leader):
-                self._lead(stopped)
+                self._lead(finished)
 
-        while not stop.is_set():
+        self._await_configuration(finished)
+        while not finished.is_set() and not self._is_succeeded():
             run_step(take_part, logger, "look at the lease failed")
-            stop.wait(_LEASE_POLL_SECONDS)
-        stopped.set()
+            finished.wait(_LEASE_POLL_SECONDS)
+        finished.set()
         self._leadership.resign()
         self._leadership.stop()
 
@@ -152,6 +162,7 @@
             "leader": leader,
             "configuration": self.operations.current.version,
             "closed_zones": sorted(self.operations.current.closed_zones),
+            "successors": self._succession.describe(),
             "term": term.scheduler.describe() if term is not None else None,
         }
 
@@ -168,15 +179,25 @@
         """Stop listening for messages of other processes."""
         self._server.close()
 
-    def _await_successor(self, stop: threading.Event, stopped: threading.Event) -> None:
-        """Set ``stopped`` once ``stop`` is set and another entry can take over."""
+    def _await_configuration(self, finished: threading.Event) -> None:
+        """Wait until the operator configuration was read, for a limited time."""
+        give_up_at = self._clock.now() + _CONFIGURATION_SECONDS
+        while not self.operations.confirmed_at and self._clock.now() < give_up_at:
+            finished.wait(_CONFIGURATION_POLL_SECONDS)
+
+    def _limit_stop(self, stop: threading.Event, finished: threading.Event) -> None:
+        """Begin to stop after ``stop``, and end the lead when its time is over."""
         stop.wait()
-        deadline = self._clock.now() + self._settings.hand_over_seconds
-        while self._clock.now() < deadline and not stopped.is_set():
-            if self._clock.now() - self._standby_seen_at < _STANDBY_SECONDS:
-                break
-            stopped.wait(_STANDBY_POLL_SECONDS)
-        stopped.set()
+        self._succession.begin_stop()
+        self._leadership.is_stopping = True
+        finished.wait(max(0.0, self._succession.leads_until - self._clock.now()))
+        finished.set()
+        # Otherwise the retries of a failing write would delay the end of the process.
+        self._leadership.stop()
+
+    def _is_succeeded(self) -> bool:
+        """Return whether this process has drained and another entry leads."""
+        return self._succession.is_drained and self._leadership.is_led_by_another()
 
     def _lead(self, stop: threading.Event) -> None:
         """Run one term of leadership."""
@@ -212,29 +233,51 @@
             )
 
     def _query_leader(self, leader: LeaseRecord) -> bool:
-        """Return False if the lease holder replies that it does not lead."""
-        query = LeaderQuery(
+        """Return False if the lease holder replies that it does not lead.
+
+        A query names this entry as one that can lead, so none is sent before the
+        operator configuration was read.
+        """
+        if not self.operations.confirmed_at:
+            return True
+        query = self._make_query(leader.epoch)
+        result = self._contact.call(query, _LEADER_QUERY_SECONDS)
+        if isinstance(result, Err) and result.err_value.code is Code.BAD_MESSAGE:
+            # The leader is a process of an earlier release.
+            plain = attrs.evolve(query, started_at=0.0, leads_until=0.0)
+            result = self._contact.call(plain, _LEADER_QUERY_SECONDS)
+        reply = result.unwrap_or(None)
+        if not isinstance(reply, LeaderQueryReply):
+            return True
+        self._leadership.record_leader_cpu(reply.cpu)
+        return reply.leads
+
+    def _make_query(self, epoch: int) -> LeaderQuery:
+        succession = self._succession
+        return LeaderQuery(
             self._settings.id,
             self._clock.now(),
-            leader.epoch,
+            epoch,
             self._settings.advertised_address,
             self._settings.cpu,
+            self._started_at,
+            succession.leads_until if succession.is_stopping else 0.0,
+        )
+
+    def _handle_query(self, query: LeaderQuery) -> LeaderQueryReply:
+        """Answer whether this process leads; hand over if it is time to."""
+        self._succession.record(query)
+        cpu = query.cpu if self._succession.can_be_preferred(query.address) else 0.0
+        yielded = self._leadership.yield_lease(query.epoch, query.address, cpu)
+        if not yielded and self._succession.choose_successor() == query.address:
+            yielded = self._leadership.hand_over(query.epoch, query.address)
+        return LeaderQueryReply(
+            self._settings.id, self._clock.now(), not yielded, self._settings.cpu
         )
-        reply = self._contact.ask(query, _LEADER_QUERY_SECONDS)
-        if not isinstance(reply, LeaderQueryReply):
-            return True
-        self._leadership.record_leader_cpu(reply.cpu)
-        return reply.leads
 
     def _handle(self, message: Message) -> Message:
         if isinstance(message, LeaderQuery):
-            self._standby_seen_at = self._clock.now()
-            leads = not self._leadership.yield_lease(
-                message.epoch, message.address, message.cpu
-            )
-            return LeaderQueryReply(
-                self._settings.id, self._clock.now(), leads, self._settings.cpu
-            )
+            return self._handle_query(message)
         term = self._contact.term
         reply = None
         if term is not None and not term.over.is_set():
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -15,6 +15,7 @@
 import msgpack
 from result import Err, Ok, Result
 
+from pollenkeel_jobs.core.metrics import LEASE_GIVEN_UP
 from pollenkeel_jobs.core.names import LEADER, LEADER_KEY, LEADER_PARTITION
 from pollenkeel_jobs.core.tables import (
     Condition,
@@ -52,14 +53,21 @@
 _RETRY_INTERVAL = 0.1
 #: Ratio of processor capacity from which an entry is preferred as leader. A change of
 #: the leader delays work, so small differences do not count.
-_PREFERRED_CPU_RATIO = 1.5
-#: Seconds for which an entry leaves a free lease to entries with more capacity.
+PREFERRED_CPU_RATIO = 1.5
+#: Seconds for which an entry leaves a free lease to preferred entries: those with more
+#: capacity and, if it was told to stop, all that were not.
 _PREFERRED_ENTRY_SECONDS = 0.7
 #: Seconds between two hand-overs by one process to entries with more capacity.
 _HAND_OVER_INTERVAL = 20.0
 #: Seconds for which a process that has handed over does not acquire the lease, so that
 #: its successor can.
 _SUCCESSOR_SECONDS = 1.5
+#: Seconds after a hand-over in which other entries are told that this process leads, so
+#: that only the named successor acquires the lease.
+_NAMED_SUCCESSOR_SECONDS = 0.3
+#: Longest wait of a hand-over for an open write, in seconds; half of the time for which
+#: the successor waits for the reply.
+_HAND_OVER_WRITE_SECONDS = 0.2
 
 
 @attrs.frozen
@@ -130,6 +138,9 @@
     ----------
     cpu : float
         Processor capacity of this process, in cores; 0 if unknown.
+    is_stopping : bool
+        This process was told to stop. It acquires a free lease only if no other entry
+        does.
     epoch : int
         Fencing token of the current term; 0 while this process does not lead.
     write_seconds : float
@@ -148,9 +159,13 @@
         retry_interval: float = _RETRY_INTERVAL,
     ) -> None:
         self.cpu = cpu
+        self.is_stopping = False
         self._highest_leader_cpu = 0.0
         self._next_hand_over_at = 0.0
         self._no_acquisition_until = 0.0
+        self._handed_over_epoch = 0
+        self._handed_over_at = 0.0
+        self._named_successor = ""
         self._retry_interval = retry_interval
         self._holder = f"{holder}/{time.time_ns()}"
         self._address = address
@@ -184,6 +199,18 @@
         """
         return self.epoch > 0
 
+    def is_led_by_another(self) -> bool:
+        """Return whether another process was seen to renew its lease lately."""
+        leader = self.leader
+        return (
+            not self.holds_lease
+            and leader is not None
+            and leader.epoch > 0
+            and bool(leader.address)
+            and leader.holder != self._holder
+            and self._clock.now() - self._last_change_at < LEASE_SECONDS
+        )
+
     def stop(self) -> None:
         """Abort waits and retries."""
         self._stopped.set()
@@ -264,7 +291,7 @@
         if leader is not None and self._is_previous_incarnation(leader):
             return True
         delay = 0.0
-        if self._is_much_less_than(self._highest_leader_cpu):
+        if self.is_stopping or self._is_much_less_than(self._highest_leader_cpu):
             delay = _PREFERRED_ENTRY_SECONDS
         if leader is not None and not leader.address:
             return unchanged >= delay
@@ -272,7 +299,7 @@
 
     def _is_much_less_than(self, cpu: float) -> bool:
         """Return whether an entry with this capacity is preferred as leader."""
-        return self.cpu > 0.0 and cpu >= self.cpu * _PREFERRED_CPU_RATIO
+        return self.cpu > 0.0 and cpu >= self.cpu * PREFERRED_CPU_RATIO
 
     def record_leader_cpu(self, cpu: float) -> None:
         """Record the processor capacity that a leader has stated, in cores."""
@@ -296,41 +323,77 @@
         bool
             True if this process does not lead in ``epoch``, or has just given it up.
         """
-        if not self.holds_lease or self.epoch != epoch:
-            return True
         now = self._clock.now()
+        if not self.holds_lease or self.epoch != epoch:
+            return not self._is_kept_for_another(epoch, successor, now)
         failing = self._failing_since
         if failing and now - failing > _YIELD_AFTER_SECONDS:
-            self._give_up(successor, "this process cannot write")
+            self._give_up(successor, "store", "this process cannot write")
             return True
         if self._is_much_less_than(cpu) and now >= self._next_hand_over_at:
-            return self._hand_over(successor, cpu, now)
+            cause = f"it has {cpu:.2f} cores, this one {self.cpu:.2f}"
+            if self._hand_over(successor, "capacity", cause, 0.0):
+                self._next_hand_over_at = now + _HAND_OVER_INTERVAL
+                return True
         return False
 
-    def _hand_over(self, successor: str, cpu: float, now: float) -> bool:
-        """Give up the lease to an entry with more capacity unless a write is open.
+    def hand_over(self, epoch: int, successor: str) -> bool:
+        """Give up the lease to a successor because this process was told to stop.
+
+        Parameters
+        ----------
+        epoch : int
+            Term that the successor asks about.
+        successor : str
+            Address of the asking entry, which acquires the lease if the result is True.
+
+        Returns
+        -------
+        bool
+            True if this process does not lead in ``epoch``, or has just given it up;
+            False if a write is open, so that the successor has to ask again.
+        """
+        if not self.holds_lease or self.epoch != epoch:
+            return True
+        cause = "this process was told to stop"
+        return self._hand_over(successor, "stop", cause, _HAND_OVER_WRITE_SECONDS)
+
+    def _is_kept_for_another(self, epoch: int, asking: str, now: float) -> bool:
+        """Return whether the lease was just handed over to another than the asking."""
+        return (
+            epoch == self._handed_over_epoch
+            and now - self._handed_over_at < _NAMED_SUCCESSOR_SECONDS
+            and asking != self._named_successor
+        )
+
+    def _hand_over(self, successor: str, reason: str, detail: str, wait: float) -> bool:
+        """Give up the lease unless a write is open for longer than ``wait`` seconds.
 
         The successor acquires the lease on condition that its row is unchanged, which
         an open write would break.
         """
-        if not self._lock.acquire(blocking=False):
+        if not self._lock.acquire(timeout=wait):
             return False
         try:
-            self._next_hand_over_at = now + _HAND_OVER_INTERVAL
+            now = self._clock.now()
             self._no_acquisition_until = now + _SUCCESSOR_SECONDS
-            self._give_up(successor, f"it has {cpu:.2f} cores, this one {self.cpu:.2f}")
+            self._handed_over_epoch = self.epoch
+            self._handed_over_at = now
+            self._named_successor = successor
+            self._give_up(successor, reason, detail)
         finally:
             self._lock.release()
         return True
 
-    def _give_up(self, successor: str, cause: str) -> None:
-        log_change(
-            logger, "lease given up to another entry", address=successor, cause=cause
-        )
-        self.epoch = 0
+    def _give_up(self, successor: str, reason: str, detail: str) -> None:
         # This process may not be able to read the lease row, so it records the
         # successor's address here.
         self.leader = LeaseRecord(0, successor, successor, 0)
+        self.epoch = 0
+        LEASE_GIVEN_UP.labels(reason).inc()
+        log_change(
+            logger, "lease given up to another entry", address=successor, cause=detail
+        )
 
     def _is_previous_incarnation(self, leader: LeaseRecord) -> bool:
         """Return whether the holder is a previous, ended process with the same id."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/messages.py
@@ -373,7 +373,9 @@
     """Asks the holder of the lease whether it leads.
 
     The sender has just reached the table service. A leader gives up its lease to the
-    sender if it cannot write to the table service, or has much less processor capacity.
+    sender if it cannot write to the table service, has much less processor capacity, or
+    was told to stop. Processes of earlier releases know neither ``started_at`` nor
+    ``leads_until``.
 
     Attributes
     ----------
@@ -383,11 +385,18 @@
         Address at which the sender receives messages.
     cpu : float
         Processor capacity of the sender, in cores; 0 if unknown.
+    started_at : float
+        Time at which the sender started, on its clock; 0 if unknown.
+    leads_until : float
+        Time until which the sender can lead, on its clock; 0 unless it was told to
+        stop.
     """
 
     epoch: int
     address: str = ""
     cpu: float = 0.0
+    started_at: float = 0.0
+    leads_until: float = 0.0
 
 
 @attrs.frozen
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
@@ -57,6 +57,12 @@
     "Jobs that the leader leaves out because their record cannot be read.",
     registry=REGISTRY,
 )
+LEASE_GIVEN_UP = Counter(
+    "pollenkeel_lease_given_up",
+    "Leases given up to another entry, by reason: stop, capacity or store.",
+    ["reason"],
+    registry=REGISTRY,
+)
 COMMIT_SECONDS = Histogram(
     "pollenkeel_commit_seconds",
     "Duration of the leader's transactions, with their retries.",
--- a/packages/pollenkeel-jobs/tests/core/test_entry.py
+++ b/packages/pollenkeel-jobs/tests/core/test_entry.py
@@ -2,11 +2,17 @@
 
 import threading
 
+from result import Err, Ok
+
 from pollenkeel_jobs.core.advice import AdviceService
 from pollenkeel_jobs.core.entry import Entry, NodeSettings
 from pollenkeel_jobs.core.leader import Term
+from pollenkeel_jobs.core.leadership import LeaseRecord
+from pollenkeel_jobs.core.messages import LeaderQueryReply
 from pollenkeel_jobs.core.operations import OperationsDecoder, OperationsFeed
 from pollenkeel_kernel.core.clock import SystemClock
+from pollenkeel_kernel.core.codes import Code
+from pollenkeel_kernel.core.refusal import Refusal
 from pollenkeel_standins.processes import wait_until
 
 CLOCK = SystemClock()
@@ -52,6 +58,43 @@
     second.close()
 
 
+def test_entry_that_is_told_to_stop_while_it_starts_can_lead(tables, free_ports):
+    """Guards against a free lease beside a process that serves and could take it."""
+    stop = threading.Event()
+    stop.set()
+    entry, thread = start_entry(tables, "entry-1", free_ports[0], stop)
+    wait_until(lambda: entry._leadership.leads, 2.0)
+    thread.join(6.0)
+    assert not thread.is_alive()
+    assert not entry._leadership.leads
+    entry.close()
+
+
+def test_leader_of_an_earlier_release_is_asked_again(tables, free_ports, monkeypatch):
+    """Guards against an upgrade in which nobody hears of a leader that has resigned.
+
+    Earlier releases reject a query with fields that they don't know.
+    """
+
+    asked = []
+
+    def call(query, seconds):
+        asked.append(query)
+        if query.started_at:
+            return Err(Refusal(Code.BAD_MESSAGE, "unknown field"))
+        return Ok(LeaderQueryReply("entry-0", CLOCK.now(), leads=False))
+
+    address = f"tcp://127.0.0.1:{free_ports[0]}"
+    feed = OperationsFeed("op", tables, UnchangedOperations(), CLOCK)
+    feed.confirmed_at = CLOCK.now()
+    settings = NodeSettings("entry-1", "z1", address, address)
+    entry = Entry(settings, tables, feed, CLOCK, UnusedAdviceService())
+    monkeypatch.setattr(entry._contact, "call", call)
+    assert not entry._query_leader(LeaseRecord(1, "entry-0/1", "tcp://entry-0", 1))
+    assert [bool(query.started_at) for query in asked] == [True, False]
+    entry.close()
+
+
 def test_stop_without_a_successor_is_limited_in_time(tables, free_ports):
     """Guards against a leader that waits for a successor past its hand-over time."""
     stop = threading.Event()
--- a/packages/pollenkeel-jobs/tests/core/test_leadership.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leadership.py
@@ -237,6 +237,33 @@
     assert small.leads
 
 
+def test_only_the_named_successor_acquires_the_lease(tables, clock, ask):
+    """Guards against a hand-over that another entry than the chosen one takes up."""
+    leader = make_leadership(tables, clock)
+    leader.observe(ask)
+    epoch = leader.epoch
+    assert leader.hand_over(epoch, "chosen")
+    assert not leader.leads
+    assert not leader.yield_lease(epoch, "other")
+    assert leader.yield_lease(epoch, "chosen")
+    # The reply to the chosen one may be lost.
+    clock.advance(0.4)
+    assert leader.yield_lease(epoch, "other")
+
+
+def test_stopping_entry_leaves_a_free_lease_to_others(tables, clock, ask):
+    """Guards against a lease that goes to an entry that has to hand it over again."""
+    first = make_leadership(tables, clock, "first")
+    stopping = make_leadership(tables, clock, "stopping")
+    stopping.is_stopping = True
+    first.observe(ask)
+    stopping.observe(ask)
+    first.resign()
+    assert not stopping.observe(ask)
+    clock.advance(0.8)
+    assert stopping.observe(ask)
+
+
 def test_small_entry_leaves_a_free_lease_to_larger_ones(tables, clock, ask):
     """Guards against a small entry that is the first to notice a free lease."""
     large = make_sized_leadership(tables, clock, "large", 2.0)
--- a/standins/pollenkeel_standins/job_site.py
+++ b/standins/pollenkeel_standins/job_site.py
@@ -143,6 +143,18 @@
         """Restart a process that has ended."""
         self._launch(name)
 
+    def start(self, name: str) -> ManagedProcess:
+        """Start an entry or an agent and return at once."""
+        path = self._directory / f"{name}.yaml"
+        command = [*self.make_command(self._roles_by_name[name]), "--settings"]
+        process = ManagedProcess(name, [*command, str(path)], self._directory)
+        self.processes_by_name[name] = process
+        return process
+
+    def make_command(self, role: str) -> list[str]:
+        """Return the command that starts a process of a role, without its settings."""
+        return [sys.executable, "-m", "pollenkeel_platform", role]
+
     def crash_runner(self, number: int) -> None:
         """Kill a runner with all its runs; its record is kept."""
         url = f"{self._runner_urls[number]}/crash"
@@ -344,15 +356,4 @@
         self._launch(name)
 
     def _launch(self, name: str) -> None:
-        path = self._directory / f"{name}.yaml"
-        command = [
-            sys.executable,
-            "-m",
-            "pollenkeel_platform",
-            self._roles_by_name[name],
-        ]
-        process = ManagedProcess(
-            name, [*command, "--settings", str(path)], self._directory
-        )
-        self.processes_by_name[name] = process
-        process.wait_ready()
+        self.start(name).wait_ready()
