Pace best-effort tasks that request no CPU

A best-effort task without Cpu needs no headroom, and pacing divided its budget by this need of 0. The error occurred in the agent's poll, after the worker's lease was extended and before the report, and also in the answer to the start order.

Ruled out: rejecting such jobs (a resource that isn't requested is 0, which is valid), and a need of at least 1 (with a budget of 0 the task would be paused for CPU that it doesn't request). Such a task now runs at full speed; the latency guard still pauses it if a latency-critical task stays over its target.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
@@ -425,7 +425,9 @@
     needs = _compute_needs(budgets, profile, weights, cores)
     share = 1.0
     for image, need in needs.items():
-        share = min(share, max(0.0, budgets[image]) / need)
+        # A task that requests no CPU needs no headroom.
+        if need > 0:
+            share = min(share, max(0.0, budgets[image]) / need)
     for image, need in needs.items():
         budgets[image] -= share * need
     return share
--- /dev/null
+++ b/packages/pollenkeel-jobs/tests/core/test_extreme_figures.py
@@ -0,0 +1,36 @@
+"""Guards against errors and spoilt figures from declared or measured extremes.
+
+A resource that a job doesn't request is 0, which is valid. The largest values are those
+that the platform's interface accepts.
+"""
+
+import sys
+
+from pollenkeel_jobs.core.messages import InterferingPair, RunningTask, TaskProfile
+from pollenkeel_jobs.core.pacing import PaceController
+
+MAX_INTEGER = 2**53
+MAX_NUMBER = sys.float_info.max
+MIN_NUMBER = 5e-324
+PAIRS = [InterferingPair("shop", "cut", 3.0)]
+CORES = 16_000
+
+
+def pace(cores, capacity=CORES, target=25.0, latency=20.0, used=0.0):
+    """Return the paces of a best-effort run at its start and beside a serving run."""
+    controller = PaceController()
+    profiles = {
+        "s": TaskProfile("s", "shop", latency_target=target, cores=13_000),
+        "b": TaskProfile("b", "cut", fills=True, cores=cores),
+    }
+    running = [RunningTask("s", 1, "", 100, latency)]
+    list(controller.decide(running, profiles, PAIRS, capacity, 10.0))
+    first = controller.admit(("b", 1), profiles["b"], PAIRS, capacity, 10.1)
+    running.append(RunningTask("b", 1, "", 10, used))
+    later = list(controller.decide(running, profiles, PAIRS, capacity, 10.5))
+    return [change.percent for change in (first, *later) if change is not None]
+
+
+def test_best_effort_run_without_cpu_is_paced():
+    """The agent divided by 0 before its report, and all runs on the VM lapsed."""
+    assert set(pace(cores=0)) <= {100}
