Bound headroom from below

A client may declare any latency target above 0. For one far below the latency, target over latency is 0 or so small that its reciprocal, the pressure, was a division by 0 or infinite, in the agent's poll before the report. The headroom is now at least 1e-6.

Ruled out: rejecting small targets when a job is accepted, as rows of accepted jobs may have them.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/headroom.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/headroom.py
@@ -11,6 +11,9 @@
 
 #: Upper bound of a headroom. Higher values only mean that there is no load.
 _MAX_HEADROOM = 12.0
+#: Lower bound of a headroom, so that its reciprocal is finite. A target may be declared
+#: as small as the least positive number.
+_LEAST_HEADROOM = 1e-6
 #: Time constants of the smoothed level and trend, in seconds.
 _LEVEL_SECONDS = 0.6
 _TREND_SECONDS = 1.5
@@ -19,7 +22,7 @@
 
 
 def compute_headroom(latency: float, target: float) -> float:
-    """Return target over latency; 1 means that the latency is at its target.
+    """Return target over latency, within bounds; 1 means that it is at its target.
 
     Parameters
     ----------
@@ -27,7 +30,9 @@
         Tail latency and its target, in milliseconds; a latency of 0 is not measured
         yet.
     """
-    return min(_MAX_HEADROOM, target / latency) if latency > 0 else _MAX_HEADROOM
+    if latency <= 0:
+        return _MAX_HEADROOM
+    return max(_LEAST_HEADROOM, min(_MAX_HEADROOM, target / latency))
 
 
 @attrs.define
--- a/packages/pollenkeel-jobs/tests/core/test_extreme_figures.py
+++ b/packages/pollenkeel-jobs/tests/core/test_extreme_figures.py
@@ -4,8 +4,13 @@
 that the platform's interface accepts.
 """
 
+import itertools
+import math
 import sys
 
+import pytest
+
+from pollenkeel_jobs.core.headroom import compute_headroom
 from pollenkeel_jobs.core.messages import InterferingPair, RunningTask, TaskProfile
 from pollenkeel_jobs.core.pacing import PaceController
 
@@ -34,3 +39,21 @@
 def test_best_effort_run_without_cpu_is_paced():
     """The agent divided by 0 before its report, and all runs on the VM lapsed."""
     assert set(pace(cores=0)) <= {100}
+
+
+@pytest.mark.parametrize(
+    "cores, capacity", itertools.product((0, 1, MAX_INTEGER), repeat=2)
+)
+@pytest.mark.parametrize("target", [MIN_NUMBER, 1.0, MAX_NUMBER])
+@pytest.mark.parametrize("figure", [0.0, MIN_NUMBER, 1.0, MAX_NUMBER])
+def test_paces_are_percents_for_all_figures(cores, capacity, target, figure):
+    """Guards against an agent that fails on one task's figures."""
+    percents = pace(cores, capacity, target, latency=figure, used=figure)
+    assert all(0 <= percent <= 100 for percent in percents)
+
+
+@pytest.mark.parametrize("target", [MIN_NUMBER, 1.0, MAX_NUMBER])
+@pytest.mark.parametrize("latency", [0.0, MIN_NUMBER, 1.0, MAX_NUMBER])
+def test_headroom_has_a_finite_reciprocal(latency, target):
+    """Pressure is the reciprocal; a target far below the latency made it fail."""
+    assert 0 < 1.0 / compute_headroom(latency, target) < math.inf
