Bound measured and requested CPU by the capacity of the VM

A best-effort task may request more CPU than a VM has, and workers may report any figure as its use. One implausible figure made the learned weight of its pair NaN, which counts as negligible, cannot be loaded by the next leader, and never recovers; a large one made the load in the state dump infinite. Shares of a VM's cores are now at most 1.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/interference_model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/interference_model.py
@@ -15,6 +15,7 @@
 import logbook
 import msgpack
 
+from pollenkeel_jobs.core.cpu_share import compute_cpu_share
 from pollenkeel_jobs.core.headroom import compute_headroom
 from pollenkeel_jobs.core.messages import InterferingPair, RunningTask, TaskProfile
 from pollenkeel_kernel.policy.regression import RecursiveLeastSquares
@@ -293,7 +294,7 @@
         if profile is None:
             continue
         if profile.fills:
-            share = task.figure / max(1, cores)
+            share = compute_cpu_share(task.figure, cores)
             shares[profile.image] = shares.get(profile.image, 0.0) + share
         elif (
             profile.latency_target and task.percent >= _SERVING_PERCENT and task.figure
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/pacing.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from pollenkeel_jobs.core.cpu_share import compute_cpu_share
 from pollenkeel_jobs.core.headroom import HeadroomTrend, compute_headroom
 from pollenkeel_jobs.core.latency_guard import LatencyGuard
 from pollenkeel_jobs.core.messages import InterferingPair, RunningTask, TaskProfile
@@ -400,7 +401,7 @@
     cores: int,
 ) -> dict[str, float]:
     """Return the headroom that a task consumes at full speed, by serving image."""
-    share = profile.cores / max(1, cores)
+    share = compute_cpu_share(profile.cores, cores)
     return {
         image: weights[image, profile.image] * share
         for image in budgets
@@ -438,4 +439,4 @@
 ) -> float:
     """Return the headroom that a run's current CPU use takes from a serving image."""
     weight = weights.get((image, item.profile.image), 0.0)
-    return weight * item.task.figure / max(1, cores)
+    return weight * compute_cpu_share(item.task.figure, cores)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/progress.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from pollenkeel_jobs.core.cpu_share import compute_cpu_share
 from pollenkeel_jobs.core.headroom import compute_headroom
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.job_table import list_step_tasks
@@ -54,7 +55,7 @@
         task.progress.excuse(vm.clock)
     if not step.fills:
         return
-    share = running.figure / max(1, step.demand.cpu)
+    share = min(running.figure, vm.capacity.cpu) / max(1, step.demand.cpu)
     task.use += _USE_WEIGHT * (share - task.use) if task.use else share
     starved = running.figure < _STARVED_USE_SHARE * step.demand.cpu
     if not starved or now - task.seen_at < _WARM_UP_SECONDS:
@@ -83,7 +84,8 @@
             continue
         if task.seen_at and now - task.seen_at > _WARM_UP_SECONDS:
             least = _MIN_USE_SHARE * task.step.demand.cpu
-            vm.best_effort_use_by_task[run.task_id] = max(run.figure, least)
+            used = min(run.figure, vm.capacity.cpu)
+            vm.best_effort_use_by_task[run.task_id] = max(used, least)
 
 
 def update_headroom(
@@ -113,8 +115,7 @@
         del vm.headroom_by_image[image]
     for image, headroom in lowest_by_image.items():
         for best_effort, use in uses_by_image.items():
-            headroom += (
-                interference.weight(image, best_effort) * use / max(1, vm.capacity.cpu)
-            )
+            share_of_cores = compute_cpu_share(use, vm.capacity.cpu)
+            headroom += interference.weight(image, best_effort) * share_of_cores
         known = vm.headroom_by_image.get(image, headroom)
         vm.headroom_by_image[image] = known + share * (headroom - known)
--- a/packages/pollenkeel-jobs/tests/core/test_extreme_figures.py
+++ b/packages/pollenkeel-jobs/tests/core/test_extreme_figures.py
@@ -11,6 +11,7 @@
 import pytest
 
 from pollenkeel_jobs.core.headroom import compute_headroom
+from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.messages import InterferingPair, RunningTask, TaskProfile
 from pollenkeel_jobs.core.pacing import PaceController
 
@@ -57,3 +58,27 @@
 def test_headroom_has_a_finite_reciprocal(latency, target):
     """Pressure is the reciprocal; a target far below the latency made it fail."""
     assert 0 < 1.0 / compute_headroom(latency, target) < math.inf
+
+
+@pytest.mark.parametrize("figure", [0.0, MIN_NUMBER, 1.0, MAX_NUMBER])
+@pytest.mark.parametrize("capacity", [0, 1, MAX_INTEGER])
+def test_learned_weights_stay_finite(figure, capacity):
+    """Guards against weights that one VM's figures spoil for all."""
+    model = InterferenceModel()
+    profiles = {
+        "s": TaskProfile("s", "shop", latency_target=25.0, cores=1_000),
+        "b": TaskProfile("b", "cut", fills=True, cores=0),
+    }
+    for second in range(20):
+        used = figure if second % 2 else 0.0
+        running = [
+            RunningTask("s", 1, "", 100, 10.0 + second % 3),
+            RunningTask("b", 1, "", 10, used),
+        ]
+        model.observe("vm", running, profiles, capacity, float(second))
+    assert math.isfinite(model.weight("shop", "cut"))
+    following = InterferenceModel()
+    following.load(model.encode())
+    assert following.weight("shop", "cut") == pytest.approx(
+        model.weight("shop", "cut"), rel=0.01
+    )
