Keep the time of a job's objective finite

EstimateMs may be any finite number, and the sum over a chain of steps was infinite for the largest ones. The answer of /v1/explain was then no valid JSON, and no valid date in the table of the command line. A chain now counts as at most 366 days.

The test also takes jobs with the smallest and largest figures through placement, reports, ends and explanation.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/specs.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/specs.py
@@ -4,6 +4,10 @@
 
 import attrs
 
+#: Upper bound of the declared run time of a chain of steps, in seconds. Clients may
+#: declare any finite number, and the time of a job's objective must stay a valid date.
+_MAX_CHAIN_SECONDS = 366 * 86_400.0
+
 
 @attrs.frozen
 class Demand:
@@ -192,12 +196,15 @@
         return any(step.fills for step in self.steps)
 
     def longest_chain(self) -> float:
-        """Return the declared run time of the longest chain of steps, in seconds."""
+        """Return the declared run time of the longest chain of steps, in seconds.
+
+        It is at most ``_MAX_CHAIN_SECONDS``.
+        """
         ends: list[float] = []
         for step in self.steps:
             begin = max((ends[before] for before in step.after), default=0.0)
             ends.append(begin + step.estimate)
-        return max(ends, default=0.0)
+        return min(_MAX_CHAIN_SECONDS, max(ends, default=0.0))
 
     def due_at(self, occurrence: int) -> float:
         """Return the due time of an occurrence in seconds since the Unix epoch."""
--- a/packages/pollenkeel-jobs/tests/core/test_extreme_figures.py
+++ b/packages/pollenkeel-jobs/tests/core/test_extreme_figures.py
@@ -5,15 +5,20 @@
 """
 
 import itertools
+import json
 import math
 import sys
 
+import attrs
 import pytest
+from jobs_doubles import Site, make_job
 
 from pollenkeel_jobs.core.headroom import compute_headroom
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.messages import InterferingPair, RunningTask, TaskProfile
+from pollenkeel_jobs.core.model import JobStatus
 from pollenkeel_jobs.core.pacing import PaceController
+from pollenkeel_jobs.core.specs import Demand, StepSpec
 
 MAX_INTEGER = 2**53
 MAX_NUMBER = sys.float_info.max
@@ -82,3 +87,48 @@
     assert following.weight("shop", "cut") == pytest.approx(
         model.weight("shop", "cut"), rel=0.01
     )
+
+
+STEPS = [
+    {"demand": demand, "estimate": estimate, **fields}
+    for demand in (Demand(), Demand(1, 1), Demand(MAX_INTEGER, MAX_INTEGER))
+    for estimate in (0.0, MIN_NUMBER, 1.0, MAX_NUMBER)
+    for fields in (
+        {},
+        {"fills": True, "image": "cut"},
+        {"latency_target": MIN_NUMBER, "image": "shop"},
+        {"latency_target": MAX_NUMBER, "image": "shop"},
+        {"long_running": True, "latency_target": 1.0, "image": "shop"},
+    )
+]
+
+
+@pytest.mark.parametrize("fields", STEPS)
+@pytest.mark.parametrize("figure", [0.0, MIN_NUMBER, MAX_NUMBER])
+def test_job_with_extreme_figures_is_placed_and_explained(clock, fields, figure):
+    """Guards against one job whose figures end the leader's passes or reports."""
+    site = Site(clock, vms=2, cpu=MAX_INTEGER, memory=MAX_INTEGER)
+    steps = (StepSpec(2, **fields), StepSpec(1, after=(0,), **fields))
+    site.scheduler.add_job(make_job(steps=steps, accepted_at=clock.now()))
+    beside = StepSpec(1, Demand(), latency_target=25.0, image="shop")
+    site.scheduler.add_job(make_job("j2", (beside,), accepted_at=clock.now()))
+    for number in range(12):
+        clock.advance(0.5)
+        site.step()
+        for vm in site.vms:
+            vm.running = [
+                attrs.evolve(run, percent=min(100, 10 * number), figure=figure)
+                for run in vm.running
+            ]
+        described = json.dumps(site.scheduler.explain("j1"), allow_nan=False)
+    assert described
+    assert site.running
+    if fields.get("long_running"):
+        return
+    for _ in range(3):
+        for vm in site.vms:
+            for run in list(vm.running):
+                vm.end(run.task_id)
+        clock.advance(0.5)
+        site.step()
+    assert site.scheduler.find_status("j1") is JobStatus.DONE
