Bound what one run teaches about the declared run times of its queue

The correction factor of a queue took the ratio of actual to declared run time without a bound. A job that declares almost 0 (1e-6 s in the test) raised the expected run time of all other jobs of its queue from 1 s to 1e5 s, and to infinity for the least positive number, so that stalls of the queue were no longer detected.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/speed.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/speed.py
@@ -13,6 +13,10 @@
 _QUEUE_SMOOTHING = 0.05
 #: Upper bound of the ratio of actual to expected run time of a single run.
 _MAX_RATIO = 8.0
+#: Upper bound of the ratio of actual to declared run time of a single run. Declared run
+#: times are off by up to a factor of ten; a run time declared as almost 0 must not
+#: lengthen what is expected of all other jobs of the queue.
+_MAX_DECLARED_RATIO = 10.0
 
 
 @attrs.define
@@ -74,7 +78,7 @@
         vm.slowness = max(1.0, vm.slowness + _VM_SMOOTHING * (ratio - vm.slowness))
         if step.estimate > 0:
             known = self._correction_by_queue.get(queue, 1.0)
-            newest = seconds / step.estimate
+            newest = min(seconds / step.estimate, _MAX_DECLARED_RATIO)
             self._correction_by_queue[queue] = known + _QUEUE_SMOOTHING * (
                 newest - known
             )
--- a/packages/pollenkeel-jobs/tests/core/test_extreme_figures.py
+++ b/packages/pollenkeel-jobs/tests/core/test_extreme_figures.py
@@ -132,3 +132,18 @@
         clock.advance(0.5)
         site.step()
     assert site.scheduler.find_status("j1") is JobStatus.DONE
+
+
+@pytest.mark.parametrize("declared", [MIN_NUMBER, 1e-6])
+def test_run_time_declared_as_almost_0_spoils_no_other_job(clock, declared):
+    """Guards against a queue whose expected run times one job makes useless."""
+    site = Site(clock)
+    site.scheduler.add_job(make_job(steps=(StepSpec(1, Demand(), declared),)))
+    site.step()
+    clock.advance(2.0)
+    site.vms[0].end("j1.0.0.0")
+    site.step()
+    site.scheduler.add_job(make_job("j2", (StepSpec(1, Demand(), 1.0),)))
+    site.step()
+    task = site.scheduler._jobs.find_task("j2.0.0.0")
+    assert 0.5 < site.scheduler._reports._speeds.expect_seconds(task) < 2.0
