Report to the leader whatever decision of the agent fails

The round of an agent is one call: an unexpected error in pacing, in the handling of an incarnation or in the call to the worker ended it before the report. An error in one start likewise lost the outcomes of all starts of the message.

If the call to the worker fails this way, the report has no lists, as when the worker doesn't answer.

Ruled out: one guard around everything before the report, since pacing of all runs would depend on each of them.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -12,6 +12,7 @@
 import logbook
 from result import Err, Result
 
+from pollenkeel_jobs.core.decision_guard import DecisionGuard
 from pollenkeel_jobs.core.messages import (
     InterferingPair,
     OrderOutcome,
@@ -34,7 +35,6 @@
 from pollenkeel_jobs.core.worker_tracker import WorkerState, WorkerTracker
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.codes import Code
-from pollenkeel_kernel.core.guard import run_step
 from pollenkeel_kernel.core.logs import log_change
 from pollenkeel_kernel.core.messages import ErrorReply, Message
 from pollenkeel_kernel.core.transport import PeerClient, is_answered
@@ -65,6 +65,8 @@
 _UNKNOWN = "unknown"
 _REFUSED = "refused"
 _STARTED = "started"
+#: Reason of a call that failed with an unexpected error in the agent.
+_AGENT_ERROR = "unexpected error in the agent"
 
 
 class VmAgent:
@@ -88,6 +90,7 @@
         self._vm = vm
         self._clock = clock
         self._worker = worker
+        self._guard = DecisionGuard(clock)
         self._tracker = WorkerTracker(vm, clock, worker)
         self._lock = self._tracker.lock
         self._epoch = 0
@@ -144,7 +147,7 @@
         self._leader = PeerClient.open(message.leader, self._clock)
         # The poll loop may be blocked in a long poll; a new leader needs the worker's
         # state at once.
-        self._control_pool.submit(self._poll_worker, 0.0)
+        self._control_pool.submit(self._try_to_poll, 0.0)
 
     def _find_refusal_reason(self, message: VmOrders, state: WorkerState | None) -> str:
         """Return why orders must be refused, or an empty string."""
@@ -177,13 +180,13 @@
             for stop in message.stops:
                 _add_run(state.stopped, (stop.task_id, stop.run))
         stops = [
-            self._control_pool.submit(self._stop, state, order, stop)
+            self._control_pool.submit(self._try_to_stop, state, order, stop)
             for stop in message.stops
         ]
         refusal = self._find_start_refusal_reason(state)
         starts = [] if refusal else message.starts
         calls = [
-            self._start_pool.submit(self._start, state, order, start, message)
+            self._start_pool.submit(self._try_to_start, state, order, start, message)
             for start in starts
         ]
         pending: list[Future[Any]] = [*calls, *stops]
@@ -196,6 +199,20 @@
             return _refuse(message.starts, refusal)
         return [_get_outcome(*pair) for pair in zip(starts, calls, strict=True)]
 
+    def _try_to_start(
+        self,
+        state: WorkerState,
+        order: WorkerOrder,
+        start: StartOrder,
+        message: VmOrders,
+    ) -> OrderOutcome:
+        """Send a start; after an unexpected error it is not known what it did."""
+        return self._guard.run(
+            "start",
+            lambda: self._start(state, order, start, message),
+            OrderOutcome(start.task_id, start.run, _UNKNOWN, _AGENT_ERROR),
+        )
+
     def _start(
         self,
         state: WorkerState,
@@ -229,7 +246,11 @@
                 self._revoke_at_next_incarnation(order, start, failure.born)
             outcome = _REFUSED if failure.refused else _UNKNOWN
             return OrderOutcome(start.task_id, start.run, outcome, failure.reason)
-        self._set_initial_pace(state, order, start, message.harms)
+        self._guard.run(
+            "first pace",
+            lambda: self._set_initial_pace(state, order, start, message.harms),
+            None,
+        )
         return OrderOutcome(start.task_id, start.run, _STARTED)
 
     def _revoke_at_next_incarnation(
@@ -275,6 +296,11 @@
         if pace is not None:
             self._send_pace(state, order, pace)
 
+    def _try_to_stop(
+        self, state: WorkerState, order: WorkerOrder, stop: StopOrder
+    ) -> None:
+        self._guard.run("stop", lambda: self._stop(state, order, stop), None)
+
     def _stop(self, state: WorkerState, order: WorkerOrder, stop: StopOrder) -> None:
         result = self._worker.stop(order, stop.task_id, stop.run)
         if isinstance(result, Err):
@@ -293,26 +319,31 @@
         """Poll the worker and report to the leader until ``stop`` is set."""
         while not stop.is_set():
             poll_started_at = self._clock.now()
-            if not run_step(self._poll_once, logger, "poll of the worker failed"):
+            if not self._try_to_poll(_POLL_SECONDS):
                 stop.wait(_RETRY_SECONDS)
             if self._clock.now() - poll_started_at < _MIN_POLL_INTERVAL:
                 stop.wait(_MIN_POLL_INTERVAL)
         for pool in (self._start_pool, self._control_pool):
             pool.shutdown(wait=False, cancel_futures=True)
 
-    def _poll_once(self) -> None:
-        self._poll_worker(_POLL_SECONDS)
+    def _try_to_poll(self, seconds: float) -> bool:
+        """Poll the worker; return whether there was no unexpected error."""
+
+        def poll() -> bool:
+            self._poll_worker(seconds)
+            return True
+
+        return self._guard.run("poll", poll, False)
 
     def _poll_worker(self, seconds: float) -> None:
         """Poll the worker and report its state to the leader.
 
         The call to the worker extends its lease and returns once a run ends, or after
-        ``seconds`` at most.
+        ``seconds`` at most. An unexpected error in one of the decisions in between does
+        not prevent the report.
         """
-        run_step(
-            lambda: self._tracker.confirm_next(self._epoch),
-            logger,
-            "announcement cannot be confirmed",
+        self._guard.run(
+            "announcement", lambda: self._tracker.confirm_next(self._epoch), None
         )
         with self._lock:
             state = self._tracker.state
@@ -336,21 +367,42 @@
             return
         order = _make_order(state, epoch)
         self._wake.clear()
-        result = self._hold(state, order, seconds)
+        unknown: Result[WorkerLists, WorkerFailure] = Err(
+            WorkerFailure(False, _AGENT_ERROR)
+        )
+        result = self._guard.run(
+            "lease", lambda: self._hold(state, order, seconds), unknown
+        )
         if self._tracker.state is not state:
             return
         state.answering = not isinstance(result, Err)
         if isinstance(result, Err):
-            if self._check_incarnation(state, result.err_value):
+            failure = result.err_value
+            if self._guard.run(
+                "incarnation", lambda: self._check_incarnation(state, failure), False
+            ):
                 return
             self._wake.wait(_RETRY_SECONDS)
             report = attrs.evolve(
                 self._make_report(state, epoch, None, []),
-                rejecting=result.err_value.refused,
+                rejecting=failure.refused,
             )
             self._send_report(report, state)
             return
         lists = result.ok_value
+        self._guard.run("lists", lambda: self._record_lists(state, lists), None)
+        # Only the polls of ``run`` adjust speed caps, not the one for a new leader.
+        if seconds:
+            self._guard.run(
+                "pacing", lambda: self._update_paces(state, order, lists), None
+            )
+        if not self._send_report(
+            self._make_report(state, epoch, lists, withdrawn), state
+        ):
+            self._wake.wait(_RETRY_SECONDS)
+
+    def _record_lists(self, state: WorkerState, lists: WorkerLists) -> None:
+        """Record what the worker's lists tell about its clock and its starts."""
         with self._lock:
             state.clock, state.listed_at = lists.clock, self._clock.now()
             state.first_ended = min((e.number for e in lists.ended), default=math.inf)
@@ -358,13 +410,6 @@
             for listed in lists.running:
                 run = listed.task_id, listed.run
                 state.starts.record_listed(run, state.listed_at)
-        # Only the polls of ``run`` adjust speed caps, not the one for a new leader.
-        if seconds:
-            self._update_paces(state, order, lists)
-        if not self._send_report(
-            self._make_report(state, epoch, lists, withdrawn), state
-        ):
-            self._wake.wait(_RETRY_SECONDS)
 
     def _check_incarnation(self, state: WorkerState, failure: WorkerFailure) -> bool:
         """Replace the incarnation if another one has answered; return whether so."""
@@ -407,11 +452,16 @@
                 )
             )
         for pace in changes:
-            self._send_pace(state, order, pace)
+            self._try_to_send_pace(state, order, pace)
         for what, cores in attrs.asdict(state.pace.best_effort_cores).items():
             BEST_EFFORT_CORES.labels(what).set(cores)
         SERVING_PRESSURE.set(state.pace.pressure)
 
+    def _try_to_send_pace(
+        self, state: WorkerState, order: WorkerOrder, pace: Pace
+    ) -> None:
+        self._guard.run("pace order", lambda: self._send_pace(state, order, pace), None)
+
     def _send_pace(self, state: WorkerState, order: WorkerOrder, pace: Pace) -> None:
         result = self._worker.pace(order, pace.task_id, pace.run, pace.percent)
         accepted = not isinstance(result, Err)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
@@ -73,6 +73,12 @@
     buckets=(0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0),
     registry=REGISTRY,
 )
+AGENT_DECISION_ERRORS = Counter(
+    "pollenkeel_agent_decision_errors",
+    "Decisions of the agent that failed with an unexpected error.",
+    ["decision"],
+    registry=REGISTRY,
+)
 BEST_EFFORT_CORES = Gauge(
     "pollenkeel_filling_cores",
     "Cores of the filling tasks of a VM: declared, allowed by their pace, in use.",
--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/codes.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/core/codes.py
@@ -82,6 +82,7 @@
     JOB_UNREADABLE = 6011
 
     INTERNAL = 9000
+    AGENT_DECISION_FAILED = 9001
 
     @property
     def outcome(self) -> Outcome:
@@ -155,6 +156,7 @@
     Code.PROGRESS_NOT_RECORDED: "the progress of the job does not fit into the store",
     Code.JOB_UNREADABLE: "this release cannot read the record of the job",
     Code.INTERNAL: "unexpected error; see the log of the process",
+    Code.AGENT_DECISION_FAILED: "a decision of the agent failed; its round went on",
 }
 
 
