Never give up a long-running task whose workers crash

Long-running tasks are now retried instead. From the third crash on, two placements of the task are 0.6 s, then 1.2 s and 2.4 s apart; from the fifth on, if two VMs were hit, it goes to the VM with the fewest other runs. Only the task is delayed, not its job. At most the latest five crashes are recorded, so that the row stays small; crashes of earlier runs that agents still repeat don't count again. Operators see the delay in /v1/explain, in `step waits` and `task suspected of a crash`, and as a counter.

Ruled out: a delay close to 6 s, as a job may have nothing running for 3 s at most; a delay from the time at which the task became ready, which may be 5 s after its crash; a VM kept free for the retries, whose room all others would lose.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
@@ -1,4 +1,7 @@
-"""Tasks that may have crashed workers, and when they are given up."""
+"""Tasks that may have crashed workers, and when they are given up.
+
+Long-running tasks are never given up; ``crash_retries`` limits the harm that they do.
+"""
 
 from __future__ import annotations
 
@@ -6,8 +9,10 @@
 
 import logbook
 
+from pollenkeel_jobs.core.crash_retries import get_retry_interval, is_confined
 from pollenkeel_jobs.core.job_table import JobTable
 from pollenkeel_jobs.core.messages import RunKey, VmReport, WorkerCrash
+from pollenkeel_jobs.core.metrics import LONG_RUNNING_CRASHES
 from pollenkeel_jobs.core.model import Task, TaskState
 from pollenkeel_jobs.core.start_history import SOUND_SECONDS
 from pollenkeel_jobs.core.vms import Vm
@@ -20,7 +25,8 @@
 #: after a start; that this happens to one task so often in a row is unlikely.
 _MAX_CRASHES_AT_ONCE = 4
 #: Number of crashes after which a task is given up in any case. A task that crashes
-#: each worker may be started at most five times.
+#: each worker may be started at most five times. Of a long-running task, this many
+#: crashes are recorded, the latest ones.
 _MAX_CRASHES = 5
 #: Number of crashes from which on a task is suspected of a worker's end that no agent
 #: reports.
@@ -68,8 +74,9 @@
         Crash as reported by the agent of the VM.
     """
     at_once = set(crash.suspects) - set(crash.outlived) if crash.began else set()
-    if _is_explained(jobs, crash):
-        at_once.clear()
+    explaining = set(_find_explaining(jobs, crash))
+    if explaining:
+        at_once &= explaining
     for run in crash.suspects:
         task = jobs.find_task(run.task_id)
         if task is None or task.job.status.final or task.state is TaskState.DONE:
@@ -80,11 +87,10 @@
         if run.run <= task.sound_run:
             _acquit(jobs, task)
             continue
-        task.crashed_on |= {crash.worker}
-        if run in at_once:
-            task.crashed_at_once |= {crash.worker}
+        _add_crash(task, run.run, crash.worker, run in at_once)
         jobs.dirty[task.job] = None
-        given_up = _should_give_up(task)
+        is_proven = _has_enough_evidence(task)
+        given_up = is_proven and not task.step.long_running
         log_change(
             logger,
             "task suspected of a crash",
@@ -96,28 +102,60 @@
             at_once=run in at_once,
             crashes=len(task.crashed_on),
             given_up=given_up,
+            retry_interval=get_retry_interval(task),
+            confined=is_confined(task),
         )
-        if given_up:
+        if get_retry_interval(task):
+            LONG_RUNNING_CRASHES.inc()
+        if is_proven:
             _drop_shared_evidence(jobs, task)
+        if given_up:
             yield task
 
 
-def _is_explained(jobs: JobTable, crash: WorkerCrash) -> bool:
-    """Return whether a task that is given up for its crashes was among the suspects."""
-    suspects = (jobs.find_task(run.task_id) for run in crash.suspects)
-    return any(task is not None and _crashes_at_once(task) for task in suspects)
+def _add_crash(task: Task, run: int, worker: str, at_once: bool) -> None:
+    """Add a crash to those recorded of a task.
+
+    A long-running task may crash any number of workers. Agents repeat their reports, so
+    crashes of earlier runs don't count any more once the oldest one is dropped.
+    """
+    if task.step.long_running and len(task.crashed_on) >= _MAX_CRASHES:
+        oldest = min(task.crashed_on, key=_get_birth)
+        task.crashed_on -= {oldest}
+        task.crashed_at_once -= {oldest}
+        task.acquitted_through = max(task.acquitted_through, run - 1)
+    task.crashed_on |= {worker}
+    if at_once:
+        task.crashed_at_once |= {worker}
+
+
+def _get_birth(worker: str) -> tuple[int, str]:
+    """Return the sort key of an incarnation by the digits of its start time."""
+    born = worker.rpartition("~")[2]
+    return len(born), born
+
+
+def _find_explaining(jobs: JobTable, crash: WorkerCrash) -> Iterator[RunKey]:
+    """Yield the suspected runs whose tasks have crashed enough workers to explain it.
+
+    These tasks are given up, unless they are long-running.
+    """
+    for run in crash.suspects:
+        task = jobs.find_task(run.task_id)
+        if task is not None and _crashes_at_once(task):
+            yield run
 
 
-def _drop_shared_evidence(jobs: JobTable, given_up: Task) -> None:
-    """Drop the crashes of a task that is given up from ``crashed_at_once`` of others.
+def _drop_shared_evidence(jobs: JobTable, culprit: Task) -> None:
+    """Drop the crashes of a proven culprit from ``crashed_at_once`` of other tasks.
 
     They stay in ``crashed_on``, because several tasks may have caused the same crash.
     """
-    if not _crashes_at_once(given_up):
+    if not _crashes_at_once(culprit):
         return
     for task in jobs.iterate_open_tasks():
-        shared = task.crashed_at_once & given_up.crashed_at_once
-        if shared and task is not given_up:
+        shared = task.crashed_at_once & culprit.crashed_at_once
+        if shared and task is not culprit:
             task.crashed_at_once -= shared
             jobs.dirty[task.job] = None
 
@@ -149,7 +187,7 @@
         yield WorkerCrash(ended, suspects, began=False)
 
 
-def _should_give_up(task: Task) -> bool:
+def _has_enough_evidence(task: Task) -> bool:
     """Return whether there is enough evidence that a task crashes its workers."""
     return _crashes_at_once(task) or len(task.crashed_on) >= _MAX_CRASHES
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/explanation.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/explanation.py
@@ -6,6 +6,7 @@
 from itertools import islice
 from typing import Any
 
+from pollenkeel_jobs.core.crash_retries import get_retry_interval
 from pollenkeel_jobs.core.model import Job, StepTasks, Task, TaskState
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.codes import Code
@@ -148,5 +149,8 @@
         yield "has a checkpoint"
     if task.crashed_on:
         yield f"suspected of {len(task.crashed_on)} crashes"
+    interval = get_retry_interval(task)
+    if interval:
+        yield f"is retried alone, {interval:g} s after its last start"
     if task.failed_on:
         yield f"failed or stalled on {len(task.failed_on)} workers"
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
@@ -36,6 +36,11 @@
     ["cause"],
     registry=REGISTRY,
 )
+LONG_RUNNING_CRASHES = Counter(
+    "pollenkeel_long_running_crashes",
+    "Crashes of workers under lasting tasks that are retried alone for it.",
+    registry=REGISTRY,
+)
 WAIT_SECONDS = Histogram(
     "pollenkeel_task_wait_seconds",
     "Time from a task's turn to its placement.",
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -11,6 +11,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Hashable, Iterable
 
+from pollenkeel_jobs.core.crash_retries import is_confined, is_delayed
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.pacing import MIN_HEADROOM
@@ -49,6 +50,8 @@
 #: Load added if the task failed or stalled on the VM's current worker, or may have
 #: crashed a worker of the VM.
 _FAILED_BEFORE_PENALTY = 5.0
+#: Load added for each other run that another crash under a confined task would end.
+_CONFINED_BESIDE_PENALTY = 5.0
 #: Load added while a run on the VM seems to have stalled, see ``Vm.avoided_until``.
 _AVOIDED_PENALTY = 2.0
 #: Obstacles of a VM of another service, and of one without the label of the step.
@@ -61,6 +64,8 @@
 NO_ROOM = "room"
 #: Obstacle of a VM on which other tasks are on trial.
 _TRIAL = "trial"
+#: Obstacle of all VMs while the next run of a task that may crash workers is delayed.
+_DELAYED = "delay after crashes"
 #: Obstacle of a VM whose free resources are kept for another task.
 _RESERVED = "reserved room"
 #: Obstacle that depends on the other tasks of the task's step, not on its demand.
@@ -145,6 +150,7 @@
             task.failed_on,
             task.crashed_on,
             has_waited_for_trial(task, self.now),
+            is_delayed(task, self.now),
         )
 
     def score(self, task: Task, vm: Vm) -> float | None:
@@ -156,6 +162,8 @@
 
     def find_obstacle(self, task: Task, vm: Vm) -> str:
         """Return why a task may not run on a VM, or an empty string if it may."""
+        if is_delayed(task, self.now):
+            return _DELAYED
         obstacle = _find_unmet_demand(task, vm, self.now)
         if not obstacle and not self._has_unreserved_room(task, vm):
             obstacle = _RESERVED
@@ -188,7 +196,9 @@
             score += _HEADROOM_SHARE_FACTOR * self._estimate_headroom_share(task, vm)
         elif step.latency_target:
             score += _INTERFERENCE_FACTOR * self._estimate_headroom_loss(task, vm)
-        if vm.incarnation in task.failed_on or task.has_crashed_vm(vm.name):
+        if is_confined(task):
+            score += _CONFINED_BESIDE_PENALTY * len(vm.tasks_by_id)
+        elif vm.incarnation in task.failed_on or task.has_crashed_vm(vm.name):
             score += _FAILED_BEFORE_PENALTY
         if self.now < vm.avoided_until:
             score += _AVOIDED_PENALTY
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/preemption.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/preemption.py
@@ -12,6 +12,7 @@
 import attrs
 
 from pollenkeel_jobs.core.advice import TicketCache
+from pollenkeel_jobs.core.crash_retries import is_delayed
 from pollenkeel_jobs.core.model import Task, TaskState
 from pollenkeel_jobs.core.placement import NO_ROOM, Placement
 from pollenkeel_jobs.core.reservations import Reservation, Reservations
@@ -157,6 +158,8 @@
         step = task.step
         if step.gang or step.fills or now - task.ready_at < _MIN_WAIT_SECONDS:
             return False
+        if is_delayed(task, now):
+            return False
         latest = self._latest_by_task.get(task)
         if latest is None or now >= latest.expires_at:
             return True
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -8,6 +8,7 @@
 
 from pollenkeel_jobs.core.advice import TicketCache
 from pollenkeel_jobs.core.candidates import Candidates, make_candidate_key
+from pollenkeel_jobs.core.crash_retries import is_delayed
 from pollenkeel_jobs.core.first_runs import FirstRuns
 from pollenkeel_jobs.core.gangs import choose_for_gang
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
@@ -114,6 +115,9 @@
         yield from self._place_first_runs(unplaceable, vms, now)
         candidates: Candidates | None = None
         for kind, task in self._iterate_placeable(unplaceable, vms, now):
+            if is_delayed(task, now):
+                self._record_unplaced(kind, task)
+                continue
             if task.crashed_on and not self._may_try(task, vms):
                 self._record_unplaced(kind, task)
                 if is_tried_apart(task):
