Take an odd figure of a run as not measured

A figure that is negative, infinite or no number (json accepts NaN) was taken over from the worker's list. As the CPU use of a best-effort task it makes the load of its VM no number, with which placement can't compare, and the state dump no valid JSON. Ruled out: rejecting the list, as the whole VM would lose its lease for one run.

--- a/tests/contracts/test_platform_odd_entries.py
+++ b/tests/contracts/test_platform_odd_entries.py
@@ -160,3 +160,12 @@
     body = {"ClockMs": 5, "Running": [], "Ended": []}
     del body[name]
     assert _decode_lists(Reply(200, body)).is_err()
+
+
+@pytest.mark.parametrize("figure", [float("nan"), float("inf"), -1.0])
+def test_odd_figure_of_one_run_spoils_neither_its_list_nor_what_is_learned(figure):
+    """Guards against a load of a VM that is no number, by which no VM is chosen."""
+    row = ["j.0.0.0", 1, "", 50, figure]
+    body = {"ClockMs": 5, "Running": [row], "Ended": []}
+    (run,) = _decode_lists(Reply(200, body)).unwrap().running
+    assert run.figure == 0.0
