--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/metrics.py
@@ -53,6 +53,11 @@
     ["event"],
     registry=REGISTRY,
 )
+LONG_RUNNING_CRASHES = Counter(
+    "pollenkeel_long_running_crashes",
+    "Crashes of workers under lasting tasks that are retried alone for it.",
+    registry=REGISTRY,
+)
 WAIT_SECONDS = Histogram(
     "pollenkeel_task_wait_seconds",
     "Time from a task's turn to its placement.",
@@ -108,6 +113,12 @@
     buckets=(0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0),
     registry=REGISTRY,
 )
+AGENT_DECISION_ERRORS = Counter(
+    "pollenkeel_agent_decision_errors",
+    "Decisions of the agent that failed with an unexpected error.",
+    ["decision"],
+    registry=REGISTRY,
+)
 BEST_EFFORT_CORES = Gauge(
     "pollenkeel_filling_cores",
     "Cores of the filling tasks of a VM: declared, allowed by their pace, in use.",
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -9,6 +9,7 @@
 from pollenkeel_jobs.core.advice import TicketCache
 from pollenkeel_jobs.core.candidates import Candidates, make_candidate_key
 from pollenkeel_jobs.core.closed_workers import ClosedWorkers
+from pollenkeel_jobs.core.crash_retries import is_delayed
 from pollenkeel_jobs.core.first_runs import FirstRuns
 from pollenkeel_jobs.core.gangs import choose_for_gang
 from pollenkeel_jobs.core.job_table import JobTable, list_step_tasks
@@ -154,6 +155,9 @@
         """Place waiting tasks in the given order, each kind until it fits nowhere."""
         self._candidates = None
         for kind, task in placeable:
+            if is_delayed(task, self._placement.now):
+                self._record_unplaced(kind, task)
+                continue
             if task.crashed_on and not self._may_try(task, vms):
                 self._record_unplaced(kind, task)
                 if is_tried_apart(task):
