Bound the wait of suspects of three crashes

A task that was suspected of three crashes was tried alone, however long it had waited.

Such a suspect is now tried alone for 1 s, then in groups with half the suspects of its latest crash, and after 2 s in any group of suspects of three crashes. After four crashes the limits are 2.5 s and 3.5 s, because a further crash is the last one that a task may cause. A crash that several suspects of three crashes share gives up none of them; the suspects of the latest crash are tried first, so that a number of crashes logarithmic in their number finds the cause. Suspects of one or two crashes never join these groups.

record_crash changes where it decides that a crash is shared; _should_give_up does not. The reference search in test_waiting repeats the order and the rule for trials, and follows them.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/crashes.py
@@ -10,6 +10,7 @@
 from pollenkeel_jobs.core.messages import RunKey, VmReport, WorkerCrash
 from pollenkeel_jobs.core.model import Task, TaskState
 from pollenkeel_jobs.core.start_history import SOUND_SECONDS
+from pollenkeel_jobs.core.trials import narrow_suspects, share_trial
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.logs import log_change
 
@@ -58,7 +59,8 @@
 
     A crash is reported repeatedly, also to later leaders; it counts once. It does not
     count for a task that has run soundly in the suspected run or since, as the agent
-    suspects what its worker had started last, however long ago.
+    suspects what its worker had started last, however long ago. A crash under several
+    tasks that were on trial together gives up none of them.
 
     Parameters
     ----------
@@ -70,21 +72,29 @@
     at_once = set(crash.suspects) - set(crash.outlived) if crash.began else set()
     if _is_explained(jobs, crash):
         at_once.clear()
+    found = (jobs.find_task(run.task_id) for run in crash.suspects)
+    is_shared = share_trial(task for task in found if task is not None)
     for run in crash.suspects:
         task = jobs.find_task(run.task_id)
         if task is None or task.job.status.final or task.state is TaskState.DONE:
             continue
-        task.suspects = len(crash.suspects)
+        is_known = run.run <= task.suspected_run or run.run < task.run
+        narrow_suspects(task, run.run, len(crash.suspects))
         if crash.worker in task.crashed_on or run.run <= task.acquitted_through:
             continue
         if run.run <= task.sound_run:
             _acquit(jobs, task)
             continue
+        is_proof = task.step.gang or not is_shared
+        if len(task.crashed_on) >= _MAX_CRASHES and (is_known or not is_proof):
+            # It waits for a trial alone. The record must not grow meanwhile, so that a
+            # repeated report is known by its run.
+            continue
         task.crashed_on |= {crash.worker}
         if run in at_once:
             task.crashed_at_once |= {crash.worker}
         jobs.dirty[task.job] = None
-        given_up = _should_give_up(task)
+        given_up = is_proof and _should_give_up(task)
         log_change(
             logger,
             "task suspected of a crash",
@@ -94,6 +104,7 @@
             worker=crash.worker,
             suspects=len(crash.suspects),
             at_once=run in at_once,
+            shared=is_shared,
             crashes=len(task.crashed_on),
             given_up=given_up,
         )
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/model.py
@@ -144,6 +144,9 @@
     suspects : int
         Number of tasks suspected of the latest crash under the task, itself included;
         0 if that is not known.
+    suspected_run, tried_run : int
+        Number of the latest run that is suspected of a crash, and of the latest one
+        that ran through its trial.
     suspicion : Suspicion or None
         Latest stop of a run that seemed to have stalled, until the progress of a later
         run confirms or refutes that it had.
@@ -185,6 +188,8 @@
     listed_checkpoint: str = ""
     sound_run: int = 0
     suspects: int = 0
+    suspected_run: int = 0
+    tried_run: int = 0
     suspicion: Suspicion | None = None
     starved_since: float = 0.0
     use: float = 0.0
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -17,6 +17,8 @@
 from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.trials import (
     awaits_order,
+    get_trial_order,
+    get_trial_wait,
     has_waited_for_trial,
     is_tried_apart,
 )
@@ -144,6 +146,8 @@
             self.has_waited_long(task),
             task.failed_on,
             task.crashed_on,
+            get_trial_order(task),
+            get_trial_wait(task, self.now),
             has_waited_for_trial(task, self.now),
         )
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -15,7 +15,12 @@
 from pollenkeel_jobs.core.model import Task
 from pollenkeel_jobs.core.placement import LABEL, SERVICE, Placement
 from pollenkeel_jobs.core.reservations import Reservations
-from pollenkeel_jobs.core.trials import is_tried_apart, may_join_any_group
+from pollenkeel_jobs.core.trials import (
+    get_trial_order,
+    is_tried_apart,
+    may_exceed_trials,
+    may_join_any_group,
+)
 from pollenkeel_jobs.core.unplaceable import StepKey, Unplaceable, get_step
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_jobs.core.waiting import DemandKind, WaitingTasks, get_priority
@@ -169,6 +174,8 @@
 
     def _may_try(self, task: Task, vms: list[Vm]) -> bool:
         """Return whether a suspected task may begin a trial or join one."""
+        if may_exceed_trials(task, self._placement.now):
+            return True
         on_trial = [vm for vm in vms if vm.trial]
         if len(on_trial) < self._limit_trials(vms):
             return True
@@ -320,18 +327,25 @@
 
     A trial keeps a VM from the others, which would wait for all suspects if there is no
     other VM. Only a lower priority comes later than suspects. Those that have waited
-    so long that one group may have them all take their turn by urgency.
+    so long that one group may have them all take their turn by urgency. Of the others,
+    those among the fewest suspects come first (``get_trial_order``).
     """
     suspects: list[tuple[Task, DemandKind]] = []
     for _, _, task, kind in waiting.list_by_urgency(now):
         if suspects and get_priority(task) != get_priority(suspects[0][0]):
-            yield from suspects
+            yield from _sort_for_trials(suspects)
             suspects = []
         if is_tried_apart(task) and not may_join_any_group(task, now):
             suspects.append((task, kind))
         else:
             yield task, kind
-    yield from suspects
+    yield from _sort_for_trials(suspects)
+
+
+def _sort_for_trials(
+    suspects: list[tuple[Task, DemandKind]],
+) -> list[tuple[Task, DemandKind]]:
+    return sorted(suspects, key=lambda suspect: get_trial_order(suspect[0]))
 
 
 def _place_task(task: Task, candidates: Candidates) -> list[Placed]:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/unplaceable.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/unplaceable.py
@@ -5,14 +5,20 @@
 from pollenkeel_jobs.core.free_room import FreeRoom
 from pollenkeel_jobs.core.model import Job, Task
 from pollenkeel_jobs.core.placement import SPREAD_LIMIT, Placement
-from pollenkeel_jobs.core.trials import has_waited_for_trial, is_tried_apart
+from pollenkeel_jobs.core.trials import (
+    TrialWait,
+    get_trial_order,
+    get_trial_wait,
+    has_waited_for_trial,
+    is_tried_apart,
+)
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_jobs.core.waiting import DemandKind
 
 #: Job, occurrence and number of a step.
 StepKey = tuple[Job, int, int]
-#: Number of crashes, and whether the suspect has waited for long.
-_TrialKey = tuple[int, bool]
+#: Number of crashes, order among suspects, and how long the suspect has waited.
+_TrialKey = tuple[int, tuple[int, int], TrialWait, bool]
 #: Kind of demand, step if it matters, and whether the task has waited long.
 _SuspectKey = tuple[DemandKind, _TrialKey, StepKey | None, bool]
 
@@ -76,7 +82,12 @@
     def _make_trial_key(self, task: Task) -> _TrialKey:
         """Return what suspects have in common of which all or none may be tried."""
         now = self._placement.now
-        return len(task.crashed_on), has_waited_for_trial(task, now)
+        return (
+            len(task.crashed_on),
+            get_trial_order(task),
+            get_trial_wait(task, now),
+            has_waited_for_trial(task, now),
+        )
 
     def add_untried(self, task: Task) -> None:
         """Add all suspects that may not be tried now for the same reason as a task."""
--- a/packages/pollenkeel-jobs/tests/core/test_waiting.py
+++ b/packages/pollenkeel-jobs/tests/core/test_waiting.py
@@ -17,7 +17,12 @@
 from pollenkeel_jobs.core.ready_queue import ReadyQueue
 from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.specs import Demand, StepSpec
-from pollenkeel_jobs.core.trials import is_tried_apart, may_join_any_group
+from pollenkeel_jobs.core.trials import (
+    get_trial_order,
+    is_tried_apart,
+    may_exceed_trials,
+    may_join_any_group,
+)
 from pollenkeel_jobs.core.vms import Vm
 
 #: More steps than the queue ever looked at in one pass.
@@ -104,14 +109,16 @@
         )
         limit = max(1.0, 0.25 * len(self.vms)) if others_wait else len(self.vms)
         may_join = any(vm.trial.admits(task, self.placement.now) for vm in on_trial)
-        return len(on_trial) < limit or may_join
+        exceeds = may_exceed_trials(task, self.placement.now)
+        return len(on_trial) < limit or may_join or exceeds
 
 
 def order(task, now):
     job = task.job
     late = now > job.objective_at
     suspect = is_tried_apart(task) and not may_join_any_group(task, now)
-    return (job.spec.queue.priority, suspect, late, job.objective_at, task.task_id)
+    trial = get_trial_order(task) if suspect else ()
+    return job.spec.queue.priority, suspect, trial, late, job.objective_at, task.task_id
 
 
 def make_vms(count, seed=None, cpu=4000):
