--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement.py
@@ -18,6 +18,8 @@
 from pollenkeel_jobs.core.reservations import Reservation, Reservations
 from pollenkeel_jobs.core.trials import (
     awaits_order,
+    get_trial_order,
+    get_trial_wait,
     has_waited_for_trial,
     is_tried_apart,
 )
@@ -162,6 +164,8 @@
             self.has_waited_long(task),
             task.failed_on,
             task.crashed_on,
+            get_trial_order(task),
+            get_trial_wait(task, self.now),
             has_waited_for_trial(task, self.now),
             self.get_claim(task),
             is_delayed(task, self.now),
