Greet the agents while a new leader loads the jobs

Cause: a new leader read its tables one after another (jobs, cancellations, progress, weights) and only then the members, so connecting to the agents and their first polls of the workers came after all reads.

The tables are read in parallel, with six threads as the client of the store has six connections, and the members are greeted meanwhile. A report that arrives before the jobs are loaded waits for that (0.6 s at most, the agent waits for 0.8 s and repeats it): its runs would be unknown otherwise. Reading jobs and cancellations at different versions is covered by the feeds, which are followed from the lowest version of each table.

Ruled out: reading the rows before acquiring the lease. The former leader still writes them then, so they would have to be read again.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Iterator
-from concurrent.futures import ThreadPoolExecutor
+from collections.abc import Iterable, Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
 import logbook
@@ -80,8 +80,12 @@
 #: Duration of the leader's own writes, in seconds, above which it relays no writes for
 #: other entries.
 _SLOW_WRITE_SECONDS = 0.25
-#: Number of partitions that are read in parallel.
-_LOAD_THREADS = 4
+#: Number of partitions that are read in parallel; the table service's client keeps six
+#: connections.
+_LOAD_THREADS = 6
+#: Longest time for which the answer to a report waits until the jobs are loaded, in
+#: seconds; less than the time-out of the agent (0.8 s).
+_REPORT_WAIT_SECONDS = 0.6
 #: Seconds between checks for steps that wait for advice.
 _ADVICE_POLL_INTERVAL = 0.02
 #: Seconds between checks whether unreadable jobs have been repaired.
@@ -139,7 +143,7 @@
         self._senders_by_vm: dict[Vm, VmOrderSender] = {}
         self._member_values_by_name: dict[str, bytes] = {}
         self._advice = advice
-        self._loaded = False
+        self._loaded = threading.Event()
         self._repaired = threading.Event()
         self._failed_deletions: set[str] = set()
         self._next_cleanup_at = clock.now() + _CLEANUP_INTERVAL
@@ -147,6 +151,10 @@
     def run(self, stop: threading.Event) -> None:
         """Lead until the lease is lost or ``stop`` is set."""
         try:
+            # The agents are greeted while the jobs are loaded. Their reports wait.
+            threading.Thread(
+                target=self._poll_members, name="members", daemon=True
+            ).start()
             self._load(stop)
             for table in (JOBS, CANCELS):
                 threading.Thread(
@@ -155,9 +163,6 @@
                     name=f"feed-{table}",
                     daemon=True,
                 ).start()
-            threading.Thread(
-                target=self._poll_members, name="members", daemon=True
-            ).start()
             threading.Thread(
                 target=self._fetch_advice, name="advice", daemon=True
             ).start()
@@ -180,10 +185,18 @@
     def _load(self, stop: threading.Event) -> None:
         """Load all recorded jobs, renewing the lease meanwhile."""
         self._versions = {}
-        jobs = self._read_intake(JOBS, stop)
-        cancels = self._read_intake(CANCELS, stop)
-        progress = self._read_all(LEADER_PARTITION, PROGRESS, stop)
-        weights = self._read_all(LEADER_PARTITION, INTERFERENCE, stop)
+        with ThreadPoolExecutor(_LOAD_THREADS) as pool:
+
+            def read(partition: str, table: str) -> Future[Page]:
+                return pool.submit(self._read_all, partition, table, stop)
+
+            # The largest first.
+            progress_read = read(LEADER_PARTITION, PROGRESS)
+            job_reads = [read(partition, JOBS) for partition in INTAKE_PARTITIONS]
+            cancel_reads = [read(partition, CANCELS) for partition in INTAKE_PARTITIONS]
+            weights = read(LEADER_PARTITION, INTERFERENCE).result()
+            jobs, cancels = _join_pages(job_reads), _join_pages(cancel_reads)
+            progress = progress_read.result()
         for row in weights.rows:
             self._interference.load(row.value or b"")
         progress_by_id = join_progress_rows(progress.rows)
@@ -193,7 +206,7 @@
         for row in cancels.rows:
             self.scheduler.cancel_job(row.key)
         self._versions = {JOBS: jobs.version, CANCELS: cancels.version}
-        self._loaded = True
+        self._loaded.set()
         log_change(
             logger,
             "state loaded",
@@ -216,16 +229,12 @@
     def _read_intake(self, table: str, stop: threading.Event) -> Page:
         """Return a table's rows from all intake partitions, with the lowest version."""
         with ThreadPoolExecutor(_LOAD_THREADS) as pool:
-            pages = list(
-                pool.map(
-                    lambda partition: self._read_all(partition, table, stop),
-                    INTAKE_PARTITIONS,
-                )
+            return _join_pages(
+                [
+                    pool.submit(self._read_all, partition, table, stop)
+                    for partition in INTAKE_PARTITIONS
+                ]
             )
-        # Following the feed from the lowest version misses no change; it only repeats
-        # changes that a later read already contains.
-        version = min(page.version for page in pages)
-        return Page(tuple(row for page in pages for row in page.rows), version)
 
     def _read_all(self, partition: str, table: str, stop: threading.Event) -> Page:
         """Return a table's rows in one partition, with retries until it can be read.
@@ -450,7 +459,7 @@
 
     def explain(self, job_id: str) -> Result[dict[str, Any], Refusal]:
         """Return a description of a job for operators."""
-        if not self._loaded:
+        if not self._loaded.is_set():
             return Err(Refusal(Code.NOT_OWNER, "the jobs are being loaded"))
         found = self.scheduler.explain(job_id)
         if found is None:
@@ -479,7 +488,7 @@
 
     def _describe_job(self, job_id: str) -> JobQueryReply:
         now = self.clock.now()
-        if not self._loaded:
+        if not self._loaded.is_set():
             # The scheduler is locked while it loads the jobs.
             return JobQueryReply(self.name, now, "")
         state = self.scheduler.find_state(job_id)
@@ -493,9 +502,12 @@
         """Return the reply to a message, or None if it is not one for the leader."""
         now = self.clock.now()
         if isinstance(message, VmReport):
+            # Before that, all runs that it lists would be unknown.
+            if not self._loaded.wait(_REPORT_WAIT_SECONDS):
+                return None
             return self.scheduler.process_report(message, self.leadership.leads)
         if isinstance(message, JobNotice):
-            if self._loaded:
+            if self._loaded.is_set():
                 self.apply_row(message.job_id, message.row)
             return Done(self.name, now)
         if isinstance(message, RelayWrite):
@@ -504,7 +516,18 @@
             return self._describe_job(message.job_id)
         if isinstance(message, QueueQuery):
             waiting = (
-                self.scheduler.count_waiting(message.queue) if self._loaded else -1
+                self.scheduler.count_waiting(message.queue)
+                if self._loaded.is_set()
+                else -1
             )
             return QueueQueryReply(self.name, now, waiting)
         return None
+
+
+def _join_pages(reads: Iterable[Future[Page]]) -> Page:
+    """Return the rows of several reads, with the lowest version."""
+    pages = [read.result() for read in reads]
+    # Following the feed from the lowest version misses no change; it only repeats
+    # changes that a later read already contains.
+    version = min(page.version for page in pages)
+    return Page(tuple(row for page in pages for row in page.rows), version)
--- a/packages/pollenkeel-jobs/tests/core/test_leader.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leader.py
@@ -2,6 +2,7 @@
 
 import threading
 
+import msgpack
 import pytest
 from jobs_doubles import make_job
 from result import Err
@@ -9,11 +10,18 @@
 from pollenkeel_jobs.core import job_table
 from pollenkeel_jobs.core.leader import Term
 from pollenkeel_jobs.core.leadership import Leadership
-from pollenkeel_jobs.core.messages import RelayedRow, RelayWrite
+from pollenkeel_jobs.core.messages import (
+    RelayedRow,
+    RelayWrite,
+    VmOrdersReply,
+    VmReport,
+)
 from pollenkeel_jobs.core.names import (
     INTAKE_PARTITIONS,
     JOBS,
     LEADER_PARTITION,
+    MEMBER_PARTITION,
+    MEMBERS,
     PROGRESS,
     get_intake_partition,
 )
@@ -24,6 +32,8 @@
 )
 from pollenkeel_jobs.core.records import decode_job, encode_job
 from pollenkeel_jobs.core.tables import Failure, FailureKind, RowWrite, Transaction
+from pollenkeel_kernel.core.clock import SystemClock
+from pollenkeel_kernel.core.transport import ReplyServer
 from pollenkeel_standins.processes import wait_until
 
 
@@ -216,3 +226,42 @@
     assert len(acquired) == 40
     assert not any(acquired)
     assert term.leadership.leads
+
+
+def add_member(tables, name, address):
+    row = RowWrite(MEMBERS, name, msgpack.packb([address]))
+    tables.apply(Transaction(MEMBER_PARTITION, (), (row,)))
+
+
+def test_agents_are_greeted_while_the_jobs_are_loaded(
+    tables, clock, free_ports, monkeypatch
+):
+    """Guards against starts that wait for connections after all rows were read."""
+    greeted = threading.Event()
+    address = f"tcp://127.0.0.1:{free_ports[0]}"
+
+    def handle(message):
+        greeted.set()
+        return VmOrdersReply("vm-1", 0.0, message.epoch, [])
+
+    server = ReplyServer(address, "vm-1", SystemClock(), handle)
+    add_member(tables, "vm-1", address)
+    leadership = Leadership("entry-1", "tcp://nowhere", tables, SystemClock())
+    assert leadership.observe(lambda leader: True)
+    term = Term("entry-1", "tcp://nowhere", leadership, tables, SystemClock(), None)
+    stop, read = threading.Event(), tables.read
+    report = VmReport("vm-1", 0.0, "vm-1", leadership.epoch, worker="vm-1/w~1")
+    states = []
+
+    def read_slowly(partition, table, *keys):
+        if table == PROGRESS and not states:
+            states.append(greeted.wait(5.0))
+            # Its runs would be unknown, and stopped.
+            states.append(term.handle(report))
+            stop.set()
+        return read(partition, table, *keys)
+
+    monkeypatch.setattr(tables, "read", read_slowly)
+    term.run(stop)
+    assert states == [True, None]
+    server.close()
