--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
@@ -19,7 +19,7 @@
 logger = logbook.Logger("operations")
 
 #: Longest time that one read of the change feed waits for changes, in seconds.
-_WATCH_SECONDS = 1.5
+_WATCH_SECONDS = 0.6
 _RETRY_SECONDS = 0.2
 
 
