Ignore SIGHUP while a process starts

Cause: the handler of SIGHUP was installed only after the modules of the role were imported, about a second after the start; until then the signal ended the process.

`python -m pollenkeel_platform` and `pollenkeeld` ignore it first thing. The handler is installed before the settings are read, so that no later change of them is missed. What is left is the start of the interpreter itself.

The new test sends SIGHUP during the imports of an entry and of an agent; both ended with status -1 on the code before.

--- a/packages/pollenkeel-kernel/src/pollenkeel_kernel/daemon.py
+++ b/packages/pollenkeel-kernel/src/pollenkeel_kernel/daemon.py
@@ -28,6 +28,11 @@
 class _RoleGroup(click.Group):
     """Command group with one command per registered role."""
 
+    def main(self, *args: Any, **kwargs: Any) -> Any:
+        """Run the command line; SIGHUP is ignored while the role is imported."""
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        return super().main(*args, **kwargs)
+
     def list_commands(self, ctx: click.Context) -> list[str]:
         return ROLES.names()
 
@@ -54,22 +59,24 @@
         help="YAML settings file of this process.",
     )
     def command(path: Path) -> None:
+        reload_requested = threading.Event()
+        # Before the settings are read, so that no later change of them is missed.
+        signal.signal(signal.SIGHUP, lambda *_: reload_requested.set())
         loaded = load_settings(path, role_class.settings_class)
         if isinstance(loaded, Err):
             click.echo(str(loaded.err_value), err=True)
             sys.exit(_EXIT_BAD_USAGE)
-        _run_role(role_class, loaded.ok_value, path)
+        _run_role(role_class, loaded.ok_value, path, reload_requested)
 
     return command
 
 
-def _run_role(role_class: type[Role], settings: Any, path: Path) -> None:
+def _run_role(
+    role_class: type[Role], settings: Any, path: Path, reload_requested: threading.Event
+) -> None:
     """Run a role with signal handlers, then exit the process."""
     log_writer = setup_logging(settings.id, settings.log_level.value)
     stop = threading.Event()
-    reload_requested = threading.Event()
-    # Without a handler, SIGHUP would end the process.
-    signal.signal(signal.SIGHUP, lambda *_: reload_requested.set())
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.set())
     role = role_class(settings)
--- a/tests/proofs/test_platform_jobs.py
+++ b/tests/proofs/test_platform_jobs.py
@@ -6,6 +6,7 @@
 
 import itertools
 import time
+from pathlib import Path
 
 import pytest
 
@@ -175,6 +176,18 @@
         assert process.wait(GRACE_SECONDS) == 0
 
 
+@pytest.mark.parametrize("name", ["entry-0", "agent-0"])
+def test_reload_signal_does_not_end_a_starting_process(name, tmp_path):
+    """Guards against a SIGHUP during the imports, for which there was no handler."""
+    with JobSite(tmp_path, entries=1, vms=1) as site:
+        site.processes_by_name[name].kill()
+        process = site.start(name)
+        maps = Path(f"/proc/{process.pid}/maps")
+        wait_until(lambda: "msgpack" in maps.read_text(), 20.0, "imports have begun")
+        process.reload()
+        process.wait_ready()
+
+
 def write_progress(site, job_id, value):
     """Overwrite a job's progress row, as damage or a repair by hand would."""
     store = site.processes_by_name["store"].url.removeprefix("http://")
