Break the circular import of leader and order_sender

Cause: `VmOrderSender` took a whole `Term` and imported its type, while `leader` imports the sender.

The sender takes a `TermContext` with the six things that it uses.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -55,6 +55,7 @@
     TableService,
     Transaction,
 )
+from pollenkeel_jobs.core.term_context import TermContext
 from pollenkeel_jobs.core.unreadable import can_load
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.clock import Clock
@@ -139,6 +140,9 @@
         self.scheduler = Scheduler(
             leadership.epoch, clock, self._interference, settings
         )
+        self._context = TermContext(
+            name, address, leadership, self.scheduler, clock, self.over
+        )
         self._tables = tables
         self._senders_by_vm: dict[Vm, VmOrderSender] = {}
         self._member_values_by_name: dict[str, bytes] = {}
@@ -455,7 +459,7 @@
             peer.close()
             return
         log_change(logger, "agent discovered", vm=name, address=address)
-        self._senders_by_vm[vm] = VmOrderSender(self, vm, peer)
+        self._senders_by_vm[vm] = VmOrderSender(self._context, vm, peer)
 
     def explain(self, job_id: str) -> Result[dict[str, Any], Refusal]:
         """Return a description of a job for operators."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/order_sender.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/order_sender.py
@@ -4,22 +4,19 @@
 
 import threading
 from functools import partial
-from typing import TYPE_CHECKING
 
 import logbook
 from result import Err, Result
 
 from pollenkeel_jobs.core.messages import StopOrder, VmOrders, VmOrdersReply
 from pollenkeel_jobs.core.passes import OrderBatch
+from pollenkeel_jobs.core.term_context import TermContext
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.guard import run_step
 from pollenkeel_kernel.core.messages import Message
 from pollenkeel_kernel.core.refusal import Refusal
 from pollenkeel_kernel.core.transport import PeerClient
 
-if TYPE_CHECKING:
-    from pollenkeel_jobs.core.leader import Term
-
 logger = logbook.Logger("leader")
 
 #: Seconds without a report after which the leader sends an agent empty orders, which
@@ -38,7 +35,7 @@
     are sent by a second thread, which ends as soon as none is queued.
     """
 
-    def __init__(self, term: Term, vm: Vm, peer: PeerClient) -> None:
+    def __init__(self, term: TermContext, vm: Vm, peer: PeerClient) -> None:
         self._term = term
         self._vm = vm
         self._peer = peer
--- a/packages/pollenkeel-jobs/tests/core/test_order_sender.py
+++ b/packages/pollenkeel-jobs/tests/core/test_order_sender.py
@@ -10,6 +10,7 @@
 from pollenkeel_jobs.core.messages import VmOrdersReply
 from pollenkeel_jobs.core.order_sender import VmOrderSender
 from pollenkeel_jobs.core.specs import Demand, StepSpec
+from pollenkeel_jobs.core.term_context import TermContext
 from pollenkeel_kernel.core.codes import Code
 from pollenkeel_kernel.core.refusal import Refusal
 from pollenkeel_standins.processes import wait_until
@@ -53,13 +54,14 @@
         self.site = Site(clock, cpu=8000)
         self.peer = BusyPeer()
         self.over = threading.Event()
-        term = types.SimpleNamespace(
-            name="entry-1",
-            address="tcp://nowhere",
-            clock=clock,
-            over=self.over,
-            leadership=types.SimpleNamespace(leads=True),
-            scheduler=self.site.scheduler,
+        leadership = types.SimpleNamespace(leads=True)
+        term = TermContext(
+            "entry-1",
+            "tcp://nowhere",
+            leadership,
+            self.site.scheduler,
+            clock,
+            self.over,
         )
         self.sender = VmOrderSender(term, self.site.vms[0].vm, self.peer)
 
