Hold the ports of a test site until its processes listen

Both take their ports from `PortReservations` now, which keeps each one bound without listening. Ruled out: port 0 in the settings, since other processes have to know an entry's address before it starts.

--- a/packages/pollenkeel-jobs/tests/jobs_doubles.py
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -1,6 +1,5 @@
 """Test doubles: in-memory table service, VMs that report to a scheduler, fixtures."""
 
-import socket
 import threading
 
 import attrs
@@ -22,6 +21,7 @@
 from pollenkeel_jobs.core.specs import Demand, JobSpec, QueuePolicy, StepSpec
 from pollenkeel_jobs.core.tables import Failure, FailureKind, Page, Row, TableService
 from pollenkeel_kernel.core.clock import ManualClock
+from pollenkeel_standins.ports import PortReservations
 
 EPOCH = 7
 
@@ -324,11 +324,7 @@
 
 @pytest.fixture
 def free_ports():
-    """Two ports that are free when the test starts."""
-    sockets = [socket.socket() for _ in range(2)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Two ports that nobody else gets while the test runs."""
+    reservations = PortReservations()
+    yield [reservations.reserve() for _ in range(2)]
+    reservations.close()
--- a/standins/pollenkeel_standins/job_site.py
+++ b/standins/pollenkeel_standins/job_site.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
-import random
-import socket
 import sys
 import time
 from pathlib import Path
@@ -24,25 +21,6 @@
 _RECORD_TIMEOUT_SECONDS = 0.3
 #: Without the record of a runner that is killed its runs would be missing.
 _CRASH_TIMEOUT_SECONDS = 30.0
-#: Ports below the range that Linux uses for outgoing connections.
-_PORTS = range(15_000, 32_000)
-_PORT_ATTEMPTS = 100
-
-
-def _find_port() -> int:
-    """Return a free port outside the range of outgoing connections.
-
-    A port chosen by the kernel could be assigned to a connection before the process
-    that is to listen on it has started.
-    """
-    for port in random.SystemRandom().sample(_PORTS, _PORT_ATTEMPTS):
-        with socket.socket() as probe:
-            if probe.connect_ex(("127.0.0.1", port)) == 0:
-                continue
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
-    raise OSError(f"none of {_PORT_ATTEMPTS} ports below {_PORTS.stop} is free")
 
 
 class JobSite:
@@ -330,7 +308,7 @@
         return record
 
     def _make_address(self) -> str:
-        return f"127.0.0.1:{_find_port()}"
+        return f"127.0.0.1:{self._ports.reserve()}"
 
     def _start_standin(self, name: str, kind: str, *options: str) -> None:
         command = [sys.executable, "-m", "pollenkeel_standins", kind, *options]
