Ask a leader of an earlier release only once with the new fields

Cause: in a trial with one entry of the earlier release, each query was first rejected (4001) and logged, every 0.6 s.

The entry remembers the term of such a leader.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -106,6 +106,8 @@
     ) -> None:
         self._advice = advice
         self._started_at = clock.now()
+        # Term of a leader that rejects the new fields of a query.
+        self._plain_query_epoch = 0
         self.operations = operations
         self._settings = settings
         self._tables = tables
@@ -240,29 +242,32 @@
         """
         if not self.operations.confirmed_at:
             return True
-        query = self._make_query(leader.epoch)
-        result = self._contact.call(query, _LEADER_QUERY_SECONDS)
+        result = self._send_query(leader.epoch)
         if isinstance(result, Err) and result.err_value.code is Code.BAD_MESSAGE:
             # The leader is a process of an earlier release.
-            plain = attrs.evolve(query, started_at=0.0, leads_until=0.0)
-            result = self._contact.call(plain, _LEADER_QUERY_SECONDS)
+            self._plain_query_epoch = leader.epoch
+            result = self._send_query(leader.epoch)
         reply = result.unwrap_or(None)
         if not isinstance(reply, LeaderQueryReply):
             return True
         self._leadership.record_leader_cpu(reply.cpu)
         return reply.leads
 
-    def _make_query(self, epoch: int) -> LeaderQuery:
-        succession = self._succession
-        return LeaderQuery(
+    def _send_query(self, epoch: int) -> Result[Message, Refusal]:
+        query = LeaderQuery(
             self._settings.id,
             self._clock.now(),
             epoch,
             self._settings.advertised_address,
             self._settings.cpu,
-            self._started_at,
-            succession.leads_until if succession.is_stopping else 0.0,
         )
+        if epoch != self._plain_query_epoch:
+            succession = self._succession
+            leads_until = succession.leads_until if succession.is_stopping else 0.0
+            query = attrs.evolve(
+                query, started_at=self._started_at, leads_until=leads_until
+            )
+        return self._contact.call(query, _LEADER_QUERY_SECONDS)
 
     def _handle_query(self, query: LeaderQuery) -> LeaderQueryReply:
         """Answer whether this process leads; hand over if it is time to."""
--- a/packages/pollenkeel-jobs/tests/core/test_entry.py
+++ b/packages/pollenkeel-jobs/tests/core/test_entry.py
@@ -90,8 +90,12 @@
     settings = NodeSettings("entry-1", "z1", address, address)
     entry = Entry(settings, tables, feed, CLOCK, UnusedAdviceService())
     monkeypatch.setattr(entry._contact, "call", call)
-    assert not entry._query_leader(LeaseRecord(1, "entry-0/1", "tcp://entry-0", 1))
-    assert [bool(query.started_at) for query in asked] == [True, False]
+    for epoch in (1, 1, 2):
+        leader = LeaseRecord(epoch, "entry-0/1", "tcp://entry-0", 1)
+        assert not entry._query_leader(leader)
+    # Without the fields once they were rejected, until the next term.
+    fields_sent = [bool(query.started_at) for query in asked]
+    assert fields_sent == [True, False, False, True, False]
     entry.close()
 
 
