Bound the time that look-ahead adds to a pass

Cause: with 10,000 waiting tasks of as many sizes a pass took twice as long with the setting (98 to 201 ms of processor time), and tickets were requested for every large task. The sizes of placed and waiting tasks are now computed once a pass and service, at most 200 tasks are considered, and tickets are looked up only in a search.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/look_ahead.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/look_ahead.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from heapq import nsmallest
 
 import attrs
@@ -19,6 +20,11 @@
 from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.room_forecast import RoomEstimate, estimate_room
 from pollenkeel_jobs.core.run_forecast import RunForecast
+from pollenkeel_jobs.core.service_load import (
+    ServiceLoad,
+    compute_share,
+    is_large_share,
+)
 from pollenkeel_jobs.core.specs import Demand
 from pollenkeel_jobs.core.unplaceable import StepKey, get_step
 from pollenkeel_jobs.core.vms import Vm
@@ -36,10 +42,6 @@
 _KEEP_SECONDS = 6.0
 #: Share of the VMs of a service that may have room kept; one VM may always have it.
 _MAX_VM_SHARE = 0.125
-#: Share of a VM, and multiple of the mean share of the placed tasks, that a task needs
-#: at least for room to be kept. Smaller ones fit as soon as a few runs end.
-_MIN_DEMAND_SHARE = 0.1
-_MIN_MULTIPLE = 2.0
 #: Maximum time for which the needed room stands empty, as a share of the expected run
 #: time of the task.
 _MAX_EMPTY_SHARE = 0.25
@@ -54,8 +56,9 @@
 _PAUSE_SECONDS = 5.0
 #: Seconds before a search that found no VM is repeated for the same step.
 _SEARCH_INTERVAL = 0.5
-#: Maximum numbers of searches in a pass and of VMs in a search. They bound the time of
-#: a pass.
+#: Maximum numbers of tasks that are considered in a pass, of searches in a pass and of
+#: VMs in a search. They bound the time of a pass.
+_MAX_TASKS = 200
 _MAX_SEARCHES = 8
 _MAX_VMS_PER_SEARCH = 40
 
@@ -96,7 +99,8 @@
         self._now = 0.0
         self._vms: list[Vm] = []
         self._searches_left = 0
-        self._slots_by_service: dict[str, int] = {}
+        self._tasks_left = 0
+        self._loads_by_service: dict[str, ServiceLoad] = {}
         # Kinds of demand for which no more room is kept in this pass.
         self._closed_kinds: set[DemandKind] = set()
 
@@ -115,8 +119,9 @@
         self._now = now
         self._vms = vms
         self._searches_left = _MAX_SEARCHES if now >= self._settled_at else 0
+        self._tasks_left = _MAX_TASKS
         self._closed_kinds.clear()
-        self._slots_by_service.clear()
+        self._loads_by_service.clear()
         self._rules.begin_pass(vms)
         for room in list(self._rooms_by_task.values()):
             outcome = self._find_outcome(room)
@@ -193,9 +198,15 @@
 
     def may_keep(self, kind: DemandKind) -> bool:
         """Return whether room might be kept in this pass for a kind of demand."""
-        return self._searches_left > 0 and kind not in self._closed_kinds
+        return (
+            self._searches_left > 0
+            and self._tasks_left > 0
+            and kind not in self._closed_kinds
+        )
 
-    def keep_room(self, task: Task, kind: DemandKind, allowed: list[Vm]) -> bool:
+    def keep_room(
+        self, task: Task, kind: DemandKind, find_allowed: Callable[[Task], list[Vm]]
+    ) -> bool:
         """Keep room for a waiting task that fits on no VM now.
 
         Parameters
@@ -204,70 +215,66 @@
             The task.
         kind : DemandKind
             Kind of its demand.
-        allowed : list of Vm
-            VMs for which the task has a ticket, or all if it needs none.
+        find_allowed : callable
+            Returns the VMs for which a task has a ticket, or all if it needs none.
 
         Returns
         -------
         bool
             Whether room is kept that was not before.
         """
-        if task in self._rooms_by_task or self._now < self._find_retry_at(task):
-            return False
-        if task.crashed_on:
-            return False
-        if not self._has_slot(kind.service) or not self._is_eligible(kind):
+        self._tasks_left -= 1
+        if kind.best_effort or kind.gang or not self._may_serve(kind):
             self._closed_kinds.add(kind)
             return False
-        waited = self._now - task.ready_at
-        if waited < _MAX_WAIT_SECONDS and self._has_backlog(kind):
+        if not self._may_wait_for_room(task, kind):
             return False
         self._searches_left -= 1
-        if self._keep_best(task, allowed):
+        if self._keep_best(task, find_allowed(task)):
             return True
         self._closed_kinds.add(kind)
         self._retry_at_by_step[get_step(task)] = self._now + _SEARCH_INTERVAL
         return False
 
-    def _find_retry_at(self, task: Task) -> float:
-        return max(
-            self._retry_at_by_task.get(task, 0.0),
-            self._retry_at_by_step.get(get_step(task), 0.0),
+    def _may_serve(self, kind: DemandKind) -> bool:
+        """Return whether a demand is large, and a further VM may have room kept."""
+        load = self._find_load(kind.service)
+        limit = max(1, int(_MAX_VM_SHARE * load.vm_count))
+        kept = (reservation.vm for reservation in self._reservations.yielding())
+        return (
+            load.is_large(kind.reserved)
+            and sum(vm.service == kind.service for vm in kept) < limit
         )
 
-    def _is_eligible(self, kind: DemandKind) -> bool:
-        """Return whether tasks of a kind are large, and need nothing but room."""
-        if kind.best_effort or kind.gang:
+    def _may_wait_for_room(self, task: Task, kind: DemandKind) -> bool:
+        """Return whether room may be kept for a task with a large demand.
+
+        If smaller tasks that wait could fill the room, more of their jobs would miss
+        their objectives than large ones meet theirs.
+        """
+        if task in self._rooms_by_task or self._now < self._find_retry_at(task):
             return False
-        vms = [vm for vm in self._vms if vm.service == kind.service]
-        capacities = {vm.capacity for vm in vms}
-        if not any(_is_large(kind.reserved, capacity) for capacity in capacities):
+        if task.crashed_on:
             return False
-        count = sum(len(vm.tasks_by_id) for vm in vms)
-        used = sum(_compute_share(vm.reserved_demand, vm.capacity) for vm in vms)
-        needed = max(_compute_share(kind.reserved, capacity) for capacity in capacities)
-        return needed * count >= _MIN_MULTIPLE * used
-
-    def _has_backlog(self, kind: DemandKind) -> bool:
-        """Return whether waiting tasks that need less CPU could fill the room.
+        waited_long = self._now - task.ready_at >= _MAX_WAIT_SECONDS
+        load = self._find_load(kind.service)
+        return waited_long or not load.could_be_filled(kind.reserved)
+
+    def _find_load(self, service: str) -> ServiceLoad:
+        """Return the load of a service as of its first use in this pass."""
+        load = self._loads_by_service.get(service)
+        if load is None:
+            vms = (vm for vm in self._vms if vm.service == service)
+            load = ServiceLoad(vms, self._waiting.counts_by_kind, service)
+            self._loads_by_service[service] = load
+        return load
 
-        More of their jobs would miss their objectives than large ones meet theirs.
-        """
-        return kind.reserved.cpu <= sum(
-            count * other.reserved.cpu
-            for other, count in self._waiting.counts_by_kind.items()
-            if other.service == kind.service and other.reserved.cpu < kind.reserved.cpu
+    def _find_retry_at(self, task: Task) -> float:
+        return max(
+            self._retry_at_by_task.get(task, 0.0),
+            self._retry_at_by_step.get(get_step(task), 0.0),
         )
 
-    def _has_slot(self, service: str) -> bool:
-        """Return whether a further VM of a service may have room kept."""
-        if service not in self._slots_by_service:
-            count = sum(vm.service == service for vm in self._vms)
-            self._slots_by_service[service] = max(1, int(_MAX_VM_SHARE * count))
-        kept = (reservation.vm for reservation in self._reservations.yielding())
-        used = sum(vm.service == service for vm in kept)
-        return used < self._slots_by_service[service]
-
     def _keep_best(self, task: Task, allowed: list[Vm]) -> bool:
         """Keep room on the VM that has it first; return whether there is one."""
         found: list[tuple[float, float, str, Vm, RoomEstimate]] = []
@@ -313,7 +320,7 @@
             for vm in allowed
             if vm.service == task.job.spec.queue.service
             and self._reservations.find(vm) is None
-            and _is_large(demand, vm.capacity)
+            and is_large_share(demand, vm.capacity)
             and self._placement.find_obstacle(task, vm) == NO_ROOM
             and not _is_spread_limit_reached(task, vm)
             and vm.incarnation not in task.failed_on
@@ -341,21 +348,7 @@
     return bool(limit) and vm.count_step_tasks(task) >= limit
 
 
-def _is_large(demand: Demand, capacity: Demand) -> bool:
-    """Return whether a demand needs much of a capacity, and not more than it."""
-    return _MIN_DEMAND_SHARE <= _compute_share(demand, capacity) <= 1.0
-
-
-def _compute_share(demand: Demand, capacity: Demand) -> float:
-    """Return the largest share of the capacity that a demand needs of any resource."""
-    return max(
-        demand.cpu / max(1, capacity.cpu),
-        demand.memory / max(1, capacity.memory),
-        demand.accelerators / max(1, capacity.accelerators),
-    )
-
-
 def _compute_missing(demand: Demand, vm: Vm) -> float:
     """Return the largest share of its capacity that a VM lacks for a demand."""
     used = vm.reserved_demand + vm.unplaced_demand
-    return _compute_share(demand + used, vm.capacity)
+    return compute_share(demand + used, vm.capacity)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/ready_queue.py
@@ -152,7 +152,9 @@
         """Keep room that will soon be free for a task that fits on no VM now."""
         if self._look_ahead is None or not self._look_ahead.may_keep(kind):
             return
-        if self._look_ahead.keep_room(task, kind, self._filter_by_ticket(task, vms)):
+        if self._look_ahead.keep_room(
+            task, kind, lambda waiting: self._filter_by_ticket(waiting, vms)
+        ):
             # They include the VM of the room.
             self._candidates = None
 
