--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
@@ -156,7 +156,7 @@
             return None
         return Refusal(
             Code.BACKLOG_FULL,
-            f"it would wait {rejection.wait:.1f} s and be late after "
+            f"it would wait {rejection.wait:.1f} s and be of no use after "
             f"{rejection.allowed:.1f} s",
             rejection.retry_at,
         )
