--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -4,7 +4,6 @@
 
 import math
 import threading
-from collections.abc import Iterable
 from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import Any
 
@@ -25,6 +24,13 @@
 )
 from pollenkeel_jobs.core.metrics import BEST_EFFORT_CORES, SERVING_PRESSURE
 from pollenkeel_jobs.core.pacing import Pace
+from pollenkeel_jobs.core.start_outcomes import (
+    REFUSED,
+    STARTED,
+    UNKNOWN,
+    get_outcome,
+    refuse_all,
+)
 from pollenkeel_jobs.core.worker import (
     Worker,
     WorkerAnnouncement,
@@ -62,9 +68,6 @@
 #: a new leader waits for, which must not wait behind starts.
 _START_THREADS = 4
 _CONTROL_THREADS = 2
-_UNKNOWN = "unknown"
-_REFUSED = "refused"
-_STARTED = "started"
 #: Reason of a call that failed with an unexpected error in the agent.
 _AGENT_ERROR = "unexpected error in the agent"
 
@@ -174,7 +177,7 @@
         A worker that gets no starts still gets stops.
         """
         if state is None or refusal:
-            return _refuse(message.starts, refusal)
+            return refuse_all(message.starts, refusal)
         order = _make_order(state, message.epoch)
         with self._lock:
             for stop in message.stops:
@@ -196,8 +199,8 @@
             stop_call.cancel()
         self._wake.set()
         if refusal:
-            return _refuse(message.starts, refusal)
-        return [_get_outcome(*pair) for pair in zip(starts, calls, strict=True)]
+            return refuse_all(message.starts, refusal)
+        return [get_outcome(*pair) for pair in zip(starts, calls, strict=True)]
 
     def _try_to_start(
         self,
@@ -210,7 +213,7 @@
         return self._guard.run(
             "start",
             lambda: self._start(state, order, start, message),
-            OrderOutcome(start.task_id, start.run, _UNKNOWN, _AGENT_ERROR),
+            OrderOutcome(start.task_id, start.run, UNKNOWN, _AGENT_ERROR),
         )
 
     def _start(
@@ -227,7 +230,7 @@
             if not refusal and run in state.stopped:
                 refusal = "stopped"
             if refusal:
-                return OrderOutcome(start.task_id, start.run, _REFUSED, refusal)
+                return OrderOutcome(start.task_id, start.run, REFUSED, refusal)
             # A worker that does not answer may have crashed already.
             if state.answering:
                 state.starts.record(run, self._clock.now())
@@ -244,14 +247,14 @@
                     state.profiles_by_task.pop(start.task_id, None)
             if self._check_incarnation(state, failure):
                 self._revoke_at_next_incarnation(order, start, failure.born)
-            outcome = _REFUSED if failure.refused else _UNKNOWN
+            outcome = REFUSED if failure.refused else UNKNOWN
             return OrderOutcome(start.task_id, start.run, outcome, failure.reason)
         self._guard.run(
             "first pace",
             lambda: self._set_initial_pace(state, order, start, message.harms),
             None,
         )
-        return OrderOutcome(start.task_id, start.run, _STARTED)
+        return OrderOutcome(start.task_id, start.run, STARTED)
 
     def _revoke_at_next_incarnation(
         self, order: WorkerOrder, start: StartOrder, born: int
@@ -584,18 +587,3 @@
     if not state.announced:
         return "starting"
     return "draining" if state.announcement.draining else "ready"
-
-
-def _refuse(starts: Iterable[StartOrder], reason: str) -> list[OrderOutcome]:
-    return [
-        OrderOutcome(start.task_id, start.run, _REFUSED, reason) for start in starts
-    ]
-
-
-def _get_outcome(start: StartOrder, call: Future[OrderOutcome]) -> OrderOutcome:
-    """Return the outcome of a start; one that still waits for a thread is refused."""
-    if call.cancel():
-        return OrderOutcome(start.task_id, start.run, _REFUSED, "not sent in time")
-    if not call.done():
-        return OrderOutcome(start.task_id, start.run, _UNKNOWN, "no reply in time")
-    return call.result()
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement_log.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/placement_log.py
@@ -1,4 +1,4 @@
-"""Log lines that explain placements: why steps wait, and what is learnt."""
+"""Log lines on placements: why steps wait, what is stopped, and what is learned."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.model import Task
+from pollenkeel_jobs.core.preemption import Preempted
 from pollenkeel_jobs.core.vms import Vm
 from pollenkeel_kernel.core.logs import log_change
 
@@ -136,3 +137,31 @@
             for vm in vms
         },
     )
+
+
+def log_migration(vm: Vm, task: Task) -> None:
+    """Log that a run is stopped so that its task runs elsewhere."""
+    log_change(
+        logger,
+        "migrating task",
+        task=task.task_id,
+        run=task.run,
+        vm=vm.name,
+        percent=task.percent,
+        use=round(task.use, 2),
+        draining=vm.draining,
+    )
+
+
+def log_preemption(preempted: Preempted, now: float) -> None:
+    """Log that a run is stopped for a long-running task that waits for room."""
+    task, waiting = preempted.task, preempted.waiting
+    log_change(
+        logger,
+        "task preempted",
+        task=task.task_id,
+        run=task.run,
+        vm=preempted.vm.name,
+        waiting=waiting.task_id,
+        waited=round(now - waiting.ready_at, 2),
+    )
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -50,6 +50,8 @@
     WaitLog,
     log_closed_worker_start,
     log_interference,
+    log_migration,
+    log_preemption,
 )
 from pollenkeel_jobs.core.preemption import Preemption
 from pollenkeel_jobs.core.progress_rows import ProgressBatch, ProgressTooLargeError
@@ -582,16 +584,7 @@
             *self._migration.choose_from_draining(self._fleet.vms(), usable),
         ]
         for vm, task in moves:
-            log_change(
-                logger,
-                "migrating task",
-                task=task.task_id,
-                run=task.run,
-                vm=vm.name,
-                percent=task.percent,
-                use=round(task.use, 2),
-                draining=vm.draining,
-            )
+            log_migration(vm, task)
             task.stop_wanted = True
             self._control.stop(vm, task.task_id, task.run, now)
 
@@ -599,15 +592,7 @@
         """Stop tasks of a lower priority for long-running tasks that wait for room."""
         now = self._clock.now()
         for preempted in self._preemption.choose(self._fleet.usable(), now):
-            task, vm, waiting = preempted.task, preempted.vm, preempted.waiting
-            log_change(
-                logger,
-                "task preempted",
-                task=task.task_id,
-                run=task.run,
-                vm=vm.name,
-                waiting=waiting.task_id,
-                waited=round(now - waiting.ready_at, 2),
-            )
+            task, vm = preempted.task, preempted.vm
+            log_preemption(preempted, now)
             task.stop_wanted = True
             self._control.stop(vm, task.task_id, task.run, now)
