--- a/review/site3.py
+++ b/review/site3.py
@@ -12,6 +12,7 @@
 import http.client
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -46,6 +47,8 @@
 #: Time that a client waits for an answer, in seconds.
 CLIENT_SECONDS = 3.0
 _READY_SECONDS = 30.0
+#: A case ends after this time, with its processes.
+_LONGEST_CASE_SECONDS = 110
 _PAGE_ROWS = 500
 _MAX_ENDS = 500
 _POLL_SECONDS = 0.01
@@ -618,6 +621,15 @@
         ]
 
     def __enter__(self) -> Site:
+        try:
+            self._start()
+        except BaseException:
+            # Without this the processes that have started would be left over.
+            self.__exit__()
+            raise
+        return self
+
+    def _start(self) -> None:
         self.write_config(1)
         for number in range(self._entries):
             name = f"entry-{number}"
@@ -643,7 +655,6 @@
             self.launch(name)
         for name in self._commands:
             self._await_ready(name)
-        return self
 
     def __exit__(self, *_: object) -> None:
         for process in self.processes.values():
@@ -780,14 +791,22 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def _end_case(number: int, _: Any) -> None:
+    raise CannotRun(f"ended by signal {number}")
+
+
 def play(case: Callable[[Path], None], folder: Path) -> None:
     """Run a case and exit with 0 (held), 1 (broken) or 2 (could not run)."""
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _end_case)
+    signal.alarm(_LONGEST_CASE_SECONDS)
     try:
         case(folder)
     except Broken as error:
         print(f"broken: {error}")
         sys.exit(1)
-    except CannotRun as error:
-        print(f"could not run: {error}")
+    except Exception as error:
+        # Also an unexpected error: it doesn't show that the rule was broken.
+        print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
     print("held")
