--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -16,6 +16,7 @@
 from pollenkeel_jobs.core.advice import AdviceService
 from pollenkeel_jobs.core.contact import LeaderContact
 from pollenkeel_jobs.core.gateway import Gateway
+from pollenkeel_jobs.core.intake_bounds import IntakeBounds
 from pollenkeel_jobs.core.leader import Term
 from pollenkeel_jobs.core.leadership import Leadership, LeaseRecord
 from pollenkeel_jobs.core.messages import LeaderQuery, LeaderQueryReply
@@ -68,6 +69,8 @@
     drain_seconds : float
         Time for which this process serves clients after it was told to stop, in
         seconds.
+    bounds : IntakeBounds
+        Times within which jobs and cancellations must take effect.
     """
 
     id: str
@@ -78,6 +81,7 @@
     cpu: float = 0.0
     scheduling: SchedulingSettings = SchedulingSettings()
     drain_seconds: float = 0.0
+    bounds: IntakeBounds = IntakeBounds()
 
 
 class Entry:
@@ -213,6 +217,7 @@
             self._clock,
             self._advice,
             self._settings.scheduling,
+            self._settings.bounds,
         )
         self._contact.term = term
         watcher = threading.Thread(
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import queue
-import threading
-
 import attrs
 import logbook
 from result import Err, Ok, Result
@@ -14,7 +11,6 @@
 from pollenkeel_jobs.core.intake import IntakeWriter
 from pollenkeel_jobs.core.messages import (
     JobNotice,
-    JobNoticeReply,
     JobQuery,
     JobQueryReply,
     QueueQuery,
@@ -30,6 +26,7 @@
     PROGRESS,
     get_intake_partition,
 )
+from pollenkeel_jobs.core.notices import NoticeSender
 from pollenkeel_jobs.core.records import (
     RecordError,
     decode_job,
@@ -37,9 +34,7 @@
     encode_job,
 )
 from pollenkeel_jobs.core.specs import JobSpec
-from pollenkeel_jobs.core.tables import (
-    TableService,
-)
+from pollenkeel_jobs.core.tables import TableService
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.codes import Code, find_code
 from pollenkeel_kernel.core.logs import log_change
@@ -49,8 +44,6 @@
 
 #: Timeout for the leader's reply to a query, in seconds.
 _QUERY_SECONDS = 0.6
-#: Timeout for the leader's reply to a notice, in seconds.
-_NOTICE_SECONDS = 1.0
 #: Age in seconds up to which a cached count is used if the leader does not reply.
 _MAX_COUNT_AGE_SECONDS = 1.5
 
@@ -67,7 +60,7 @@
     """Stores jobs and cancellations and notifies the leader of them.
 
     A job is accepted once its row is stored. The leader receives it in a notice, or
-    from the table's change feed if the notice is lost.
+    from the table's change feed if no notice reaches it.
 
     Parameters
     ----------
@@ -97,12 +90,8 @@
         self._contact = contact
         self._clock = clock
         self._writer = IntakeWriter(name, tables, contact, clock)
-        self._notices: queue.Queue[JobNotice] = queue.Queue(maxsize=1000)
+        self._notices = NoticeSender(contact, clock, admission)
         self._counts_by_queue: dict[str, _QueueCount] = {}
-        for _ in range(2):
-            threading.Thread(
-                target=self._send_notices, name="notices", daemon=True
-            ).start()
 
     def submit(self, spec: JobSpec, deadline: float) -> Result[None, Refusal]:
         """Store a job.
@@ -140,7 +129,7 @@
             best_effort=spec.best_effort,
         )
         if result.ok_value:
-            self._queue_notice(
+            self._notices.add(
                 JobNotice(self._name, self._clock.now(), spec.job_id, row)
             )
         return Ok(None)
@@ -191,7 +180,7 @@
         if isinstance(result, Err):
             return result
         log_change(logger, "cancellation accepted", job=job_id)
-        self._queue_notice(JobNotice(self._name, self._clock.now(), job_id))
+        self._notices.add(JobNotice(self._name, self._clock.now(), job_id))
         return Ok(True)
 
     def find_status(self, job_id: str) -> Result[JobStatus | None, Refusal]:
@@ -245,24 +234,3 @@
         if count is not None and now - count.counted_at < _MAX_COUNT_AGE_SECONDS:
             return Ok(count.waiting)
         return Err(Refusal(Code.NOT_OWNER, "the leader does not answer"))
-
-    def _queue_notice(self, notice: JobNotice) -> None:
-        try:
-            self._notices.put_nowait(notice)
-        except queue.Full:
-            logger.warning(
-                "notice queue is full; the leader reads the row from the change feed",
-                extra={"job": notice.job_id},
-            )
-
-    def _send_notices(self) -> None:
-        while True:
-            notice = self._notices.get()
-            reply = self._contact.ask(notice, _NOTICE_SECONDS)
-            if reply is None:
-                log_change(
-                    logger, "leader did not reply to a notice", job=notice.job_id
-                )
-            elif self._admission is not None:
-                waits = reply.waits if isinstance(reply, JobNoticeReply) else ()
-                self._admission.record(waits, self._clock.now())
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -17,6 +17,7 @@
 
 from pollenkeel_jobs.core.advice import AdviceService
 from pollenkeel_jobs.core.commits import commit_rows
+from pollenkeel_jobs.core.intake_bounds import IntakeBounds
 from pollenkeel_jobs.core.interference_model import InterferenceModel
 from pollenkeel_jobs.core.leadership import Leadership, LeadershipLost
 from pollenkeel_jobs.core.messages import (
@@ -76,8 +77,6 @@
 _PASS_DELAY = 0.01
 #: Seconds between reads of the member table.
 _MEMBER_INTERVAL = 0.7
-#: Longest time that one read of a change feed waits for changes, in seconds.
-_WATCH_SECONDS = 5.0
 _RETRY_SECONDS = 0.2
 #: Duration of the leader's own writes, in seconds, above which it relays no writes for
 #: other entries.
@@ -115,6 +114,8 @@
         Client of the advice service.
     settings : SchedulingSettings, optional
         Policies that are switched on; none by default.
+    bounds : IntakeBounds, optional
+        Times within which jobs and cancellations must take effect.
 
     Attributes
     ----------
@@ -131,7 +132,9 @@
         clock: Clock,
         advice: AdviceService,
         settings: SchedulingSettings | None = None,
+        bounds: IntakeBounds | None = None,
     ) -> None:
+        self._bounds = bounds or IntakeBounds()
         self.name = name
         self.address = address
         self.leadership = leadership
@@ -391,7 +394,7 @@
 
         If its history is gone, the whole table is returned.
         """
-        page = self._tables.watch(table, after, _WATCH_SECONDS)
+        page = self._tables.watch(table, after, self._bounds.feed_wait)
         if not isinstance(page, Err):
             return page.ok_value
         if page.err_value.kind is not FailureKind.HISTORY_GONE:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/operations.py
@@ -18,7 +18,8 @@
 
 logger = logbook.Logger("operations")
 
-#: Longest time that one read of the change feed waits for changes, in seconds.
+#: Longest time that one read of the change feed waits for changes, in seconds. It adds
+#: to the time after which a connection that went silent is noticed.
 _WATCH_SECONDS = 0.6
 _RETRY_SECONDS = 0.2
 
