--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/gateway.py
@@ -167,21 +167,20 @@
     def cancel(self, job_id: str, deadline: float) -> Result[bool, Refusal]:
         """Store a cancellation; the result is False if there is no such job.
 
-        That of a job whose record cannot be read is stored as well. It is in force once
-        the record has been repaired; until then the job does not run.
+        It is stored in any case. A submission of the job may be in progress at an entry
+        that is suspended, or at the table service, and the job must not run if it is
+        stored later. The cancellation of a job whose record cannot be read is in force
+        once the record has been repaired; until then the job does not run.
         """
-        status = self.find_status(job_id)
-        if isinstance(status, Err):
-            if status.err_value.code is not Code.JOB_UNREADABLE:
-                return status
-        elif status.ok_value is None:
-            return Ok(False)
         result = self._writer.write(RelayedRow(CANCELS, job_id, b"1"), deadline)
         if isinstance(result, Err):
             return result
-        log_change(logger, "cancellation accepted", job=job_id)
         self._notices.add(JobNotice(self._name, self._clock.now(), job_id))
-        return Ok(True)
+        status = self.find_status(job_id)
+        # A job that cannot be looked up may exist; its cancellation is in force.
+        is_known = isinstance(status, Err) or status.ok_value is not None
+        log_change(logger, "cancellation accepted", job=job_id, known=is_known)
+        return Ok(is_known)
 
     def find_status(self, job_id: str) -> Result[JobStatus | None, Refusal]:
         """Return the recorded status of a job, or None if there is no such job."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/job_table.py
@@ -26,7 +26,7 @@
 logger = logbook.Logger("jobs")
 
 #: Seconds for which ended jobs are kept in memory.
-_RETENTION_SECONDS = 600.0
+RETENTION_SECONDS = 600.0
 #: Number of existing tasks of a scheduled job from which its next occurrence waits, so
 #: that many overdue occurrences do not all exist at the same time.
 _MAX_OPEN_TASKS = 8_192
@@ -60,7 +60,6 @@
         self._jobs_by_id: dict[str, Job] = {}
         self._ended_at_by_id: dict[str, float] = {}
         self._scheduled_jobs: dict[Job, None] = {}
-        self._cancelled_at_by_id: dict[str, float] = {}
         # Time of acceptance of the dropped jobs whose rows may remain in the store.
         self._accepted_at_by_forgotten_id: dict[str, float] = {}
         # End, job and number of the occurrences that are kept because of a gang.
@@ -129,19 +128,6 @@
         job = self.find(parsed[0]) if parsed else None
         return job.task(parsed[1]) if job is not None and parsed else None
 
-    def record_early_cancellation(self, job_id: str) -> None:
-        """Record the cancellation of a job that has not been received yet.
-
-        Jobs and cancellations arrive by separate feeds and messages; either may come
-        first.
-        """
-        log_change(logger, "cancellation received before its job", job=job_id)
-        self._cancelled_at_by_id[job_id] = self._clock.now()
-
-    def pop_early_cancellation(self, job_id: str) -> bool:
-        """Remove the early cancellation of a job; return whether there was one."""
-        return self._cancelled_at_by_id.pop(job_id, None) is not None
-
     def count_waiting(self, queue: str) -> int:
         """Return the number of unfinished jobs of a queue without a started task."""
         return sum(
@@ -293,15 +279,12 @@
         list of str
             Ids of all jobs dropped so far whose rows are not known to be deleted.
         """
-        limit = self._clock.now() - _RETENTION_SECONDS
+        limit = self._clock.now() - RETENTION_SECONDS
         old = [job_id for job_id, at in self._ended_at_by_id.items() if at < limit]
         for job_id in old:
             del self._ended_at_by_id[job_id]
             spec = self._jobs_by_id.pop(job_id).spec
             self._accepted_at_by_forgotten_id[job_id] = spec.accepted_at
-        for job_id, at in list(self._cancelled_at_by_id.items()):
-            if at < limit:
-                del self._cancelled_at_by_id[job_id]
         return list(self._accepted_at_by_forgotten_id)
 
     def is_forgotten(self, spec: JobSpec) -> bool:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -42,11 +42,11 @@
     MEMBER_PARTITION,
     MEMBERS,
     PROGRESS,
-    get_intake_partition,
 )
 from pollenkeel_jobs.core.order_sender import VmOrderSender
 from pollenkeel_jobs.core.progress_rows import join_progress_rows
 from pollenkeel_jobs.core.records import RecordError, decode_job
+from pollenkeel_jobs.core.row_cleanup import RowCleanup
 from pollenkeel_jobs.core.scheduler import Scheduler
 from pollenkeel_jobs.core.scheduling_settings import SchedulingSettings
 from pollenkeel_jobs.core.tables import (
@@ -91,8 +91,6 @@
 _ADVICE_POLL_INTERVAL = 0.02
 #: Seconds between checks whether unreadable jobs have been repaired.
 _REPAIR_CHECK_INTERVAL = 10.0
-#: Seconds between deletions of old jobs.
-_CLEANUP_INTERVAL = 10.0
 
 
 class Term:
@@ -153,8 +151,7 @@
         self._advice = advice
         self._loaded = threading.Event()
         self._repaired = threading.Event()
-        self._failed_deletions: set[str] = set()
-        self._next_cleanup_at = clock.now() + _CLEANUP_INTERVAL
+        self._cleanup = RowCleanup(self.scheduler, tables, leadership, clock)
 
     def run(self, stop: threading.Event) -> None:
         """Lead until the lease is lost or ``stop`` is set."""
@@ -180,7 +177,7 @@
             while not stop.is_set():
                 self._end_if_repaired()
                 self._run_pass()
-                self._delete_old_jobs()
+                self._cleanup.run_if_due()
         except LeadershipLost as error:
             log_change(logger, "leadership lost", cause=str(error))
         finally:
@@ -298,55 +295,6 @@
             self.leadership.resign()
             raise LeadershipLost("the record of a job can be read again")
 
-    def _delete_old_jobs(self) -> None:
-        """Delete the rows of jobs that ended long ago.
-
-        The progress is deleted last: a job without progress would run again.
-        """
-        now = self.clock.now()
-        if now < self._next_cleanup_at:
-            return
-        self._next_cleanup_at = now + _CLEANUP_INTERVAL
-        old = self.scheduler.forget_old_jobs()
-        for job_id in sorted(old, key=self._failed_deletions.__contains__):
-            if not self._delete_job(job_id):
-                self._failed_deletions.add(job_id)
-                logger.warning("rows of old job not deleted", extra={"job": job_id})
-                # More failures in a row could take longer than the lease lasts.
-                return
-            self._failed_deletions.discard(job_id)
-            self.scheduler.confirm_deletion(job_id)
-
-    def _delete_job(self, job_id: str) -> bool:
-        """Delete the rows of an old job; return False if that has to be tried again.
-
-        After a failure the rows may be gone, and a client may have submitted another
-        job with this id, whose rows must stay.
-        """
-        partition = get_intake_partition(job_id)
-        conditions: tuple[Condition, ...] = ()
-        if job_id in self._failed_deletions:
-            found = self._tables.read_row(partition, JOBS, job_id)
-            if isinstance(found, Err):
-                return False
-            row = found.ok_value
-            if row is not None and row.value and not self._is_old(row.value):
-                return True
-            conditions = (Condition(JOBS, job_id, row.version if row else 0),)
-        rows = (RowWrite(JOBS, job_id, None), RowWrite(CANCELS, job_id, None))
-        removed = self._tables.transact(Transaction(partition, conditions, rows))
-        if isinstance(removed, Err):
-            return False
-        self.leadership.commit((RowWrite(PROGRESS, job_id, None),))
-        return True
-
-    def _is_old(self, row: bytes) -> bool:
-        """Return whether a row is that of a job that was dropped."""
-        try:
-            return self.scheduler.is_forgotten(decode_job(row))
-        except RecordError:
-            return False
-
     def _fetch_advice(self) -> None:
         """Query the advice service for steps that wait for tickets, one at a time."""
         while not self.over.is_set():
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -15,6 +15,7 @@
 from pollenkeel_jobs.core.advice import Advice, AdviceQuestion, TicketCache
 from pollenkeel_jobs.core.backlog import BacklogEstimator
 from pollenkeel_jobs.core.collection import paused_collection
+from pollenkeel_jobs.core.early_cancellations import EarlyCancellations
 from pollenkeel_jobs.core.explanation import describe_job
 from pollenkeel_jobs.core.first_runs import FirstRuns
 from pollenkeel_jobs.core.fleet import Fleet
@@ -29,11 +30,7 @@
     VmReport,
     VmReportReply,
 )
-from pollenkeel_jobs.core.metrics import (
-    CLOSED_WORKER_STARTS,
-    RUNS_PLACED,
-    WAIT_SECONDS,
-)
+from pollenkeel_jobs.core.metrics import CLOSED_WORKER_STARTS, RUNS_PLACED, WAIT_SECONDS
 from pollenkeel_jobs.core.migration import Migration
 from pollenkeel_jobs.core.model import Job, JobState, JobStatus, Task, TaskState
 from pollenkeel_jobs.core.names import INTERFERENCE, INTERFERENCE_KEY
@@ -56,10 +53,7 @@
 from pollenkeel_jobs.core.preemption import Preemption
 from pollenkeel_jobs.core.progress_rows import ProgressBatch, ProgressTooLargeError
 from pollenkeel_jobs.core.ready_queue import Placed, ReadyQueue
-from pollenkeel_jobs.core.report_log import (
-    log_late_report,
-    log_overtaken_lists,
-)
+from pollenkeel_jobs.core.report_log import log_late_report, log_overtaken_lists
 from pollenkeel_jobs.core.reports import ReportProcessor
 from pollenkeel_jobs.core.reservations import Reservations
 from pollenkeel_jobs.core.run_control import RunControl
@@ -104,6 +98,11 @@
         Learned interference between images.
     settings : SchedulingSettings, optional
         Policies that are switched on; none by default.
+
+    Attributes
+    ----------
+    early_cancellations : EarlyCancellations
+        Cancellations that are known before their job.
     """
 
     def __init__(
@@ -119,6 +118,7 @@
         self._clock = clock
         self._lock = threading.RLock()
         self._jobs = JobTable(clock)
+        self.early_cancellations = EarlyCancellations(clock)
         self._fleet = Fleet(clock)
         self._tickets = TicketCache(clock)
         self._unsent_starts: list[PlannedStart] = []
@@ -194,7 +194,7 @@
         """Add a newly stored job; does nothing if the job is known already."""
         with self._lock:
             self._jobs.add(spec)
-            if self._jobs.pop_early_cancellation(spec.job_id):
+            if self.early_cancellations.pop(spec.job_id):
                 self._cancel(spec.job_id)
         self.wake.set()
 
@@ -210,7 +210,7 @@
             # The next leader that can read the job finds the stored cancellation.
             return
         if job is None:
-            self._jobs.record_early_cancellation(job_id)
+            self.early_cancellations.add(job_id)
         elif not job.cancelled:
             job.cancelled = True
             if not job.status.final:
@@ -218,9 +218,8 @@
 
     def find_status(self, job_id: str) -> JobStatus | None:
         """Return the recorded status of a job, or None for an unknown job."""
-        with self._lock:
-            job = self._jobs.find(job_id)
-            return job.recorded_status if job else None
+        state = self.find_state(job_id)
+        return state.status if state else None
 
     def find_state(self, job_id: str) -> JobState | None:
         """Return the recorded state of a job, or None for an unknown job."""
--- a/packages/pollenkeel-jobs/tests/core/test_leader.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leader.py
@@ -132,7 +132,7 @@
     clock.advance(620.0)
     term.leadership.renew()
     tables.faults = [fault]
-    term._delete_old_jobs()
+    term._cleanup.run_if_due()
     return write.value
 
 
@@ -150,7 +150,7 @@
     end_and_forget(term, tables, clock, fault, make_job(accepted_at=clock.now()))
     clock.advance(10.1)
     term.leadership.renew()
-    term._delete_old_jobs()
+    term._cleanup.run_if_due()
     assert tables.rows_by_key[get_intake_partition("j1"), JOBS, "j1"].value is None
     assert tables.rows_by_key[LEADER_PARTITION, PROGRESS, "j1"].value is None
 
@@ -164,7 +164,7 @@
     term.apply_row("j1", row)
     clock.advance(10.1)
     term.leadership.renew()
-    term._delete_old_jobs()
+    term._cleanup.run_if_due()
     assert tables.rows_by_key[get_intake_partition("j1"), JOBS, "j1"].value == row
     assert term.scheduler.describe()["waiting"] == ["j1.0.0.0", "j1.0.0.1"]
 
@@ -203,7 +203,7 @@
         return Err(Failure(FailureKind.UNKNOWN))
 
     monkeypatch.setattr(tables, "transact", transact_slowly)
-    term._delete_old_jobs()
+    term._cleanup.run_if_due()
     assert term.leadership.leads
 
 
