--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/agent.py
@@ -59,8 +59,6 @@
 _RETRY_SECONDS = 0.1
 #: Minimum time between two polls of the worker, in seconds.
 _MIN_POLL_INTERVAL = 0.02
-#: Seconds after an answer of the worker within which it can't have restarted.
-_MIN_RESTART_SECONDS = 0.2
 #: Number of stopped, and of revoked, runs that are kept per incarnation of the worker;
 #: beyond that the oldest is dropped.
 _MAX_REVOKED_RUNS = 2000
@@ -225,12 +223,10 @@
     ) -> OrderOutcome:
         payload = message.payloads_by_job.get(start.task_id.split(".")[0], "")
         run = (start.task_id, start.run)
+        refusal = self._tracker.find_start_obstacle(state, order, message.deadline, run)
+        if refusal:
+            return OrderOutcome(start.task_id, start.run, REFUSED, refusal)
         with self._lock:
-            refusal = self._find_expiry_reason(state, message)
-            if not refusal and run in state.stopped:
-                refusal = "stopped"
-            if refusal:
-                return OrderOutcome(start.task_id, start.run, REFUSED, refusal)
             # A worker that does not answer may have crashed already.
             if state.answering:
                 state.starts.record(run, self._clock.now())
@@ -268,19 +264,6 @@
             stop = StopOrder(start.task_id, start.run)
             self._stop(following, attrs.evolve(order, born=born), stop)
 
-    def _find_expiry_reason(self, state: WorkerState, message: VmOrders) -> str:
-        """Return why starts of a message can't be sent any more, or an empty string.
-
-        The agent may have been paused since the leader sent the message. The worker
-        checks the deadline too, but not if it has restarted meanwhile: the clock of the
-        new incarnation begins anew, and the deadline is far ahead of it.
-        """
-        if self._tracker.state is not state:
-            return "another worker"
-        if state.has_passed(message.deadline, self._clock.now()):
-            return "late"
-        return ""
-
     def _set_initial_pace(
         self,
         state: WorkerState,
@@ -373,6 +356,7 @@
         unknown: Result[WorkerLists, WorkerFailure] = Err(
             WorkerFailure(False, _AGENT_ERROR)
         )
+        asked_at = self._clock.now()
         result = self._guard.run(
             "lease", lambda: self._hold(state, order, seconds), unknown
         )
@@ -393,7 +377,9 @@
             self._send_report(report, state)
             return
         lists = result.ok_value
-        self._guard.run("lists", lambda: self._record_lists(state, lists), None)
+        self._guard.run(
+            "lists", lambda: self._record_lists(state, lists, asked_at), None
+        )
         # Only the polls of ``run`` adjust speed caps, not the one for a new leader.
         if seconds:
             self._guard.run(
@@ -404,15 +390,17 @@
         ):
             self._wake.wait(_RETRY_SECONDS)
 
-    def _record_lists(self, state: WorkerState, lists: WorkerLists) -> None:
+    def _record_lists(
+        self, state: WorkerState, lists: WorkerLists, asked_at: float
+    ) -> None:
         """Record what the worker's lists tell about its clock and its starts."""
         with self._lock:
-            state.clock, state.listed_at = lists.clock, self._clock.now()
+            state.record_clock(lists.clock, asked_at, self._clock.now())
             state.first_ended = min((e.number for e in lists.ended), default=math.inf)
             state.starts.forget((end.task_id, end.run) for end in lists.ended)
             for listed in lists.running:
                 run = listed.task_id, listed.run
-                state.starts.record_listed(run, state.listed_at)
+                state.starts.record_listed(run, self._clock.now())
 
     def _check_incarnation(self, state: WorkerState, failure: WorkerFailure) -> bool:
         """Replace the incarnation if another one has answered; return whether so."""
@@ -433,10 +421,9 @@
         acknowledges = state.answering and state.first_ended <= state.recorded_through
         if not acknowledges:
             return self._worker.hold(order, state.lease_until, 0, seconds)
-        if self._clock.now() - state.listed_at >= _MIN_RESTART_SECONDS:
-            current = self._worker.hold(order, state.lease_until, 0, 0.0)
-            if isinstance(current, Err):
-                return current
+        confirmed = self._tracker.confirm(state, order)
+        if isinstance(confirmed, Err):
+            return Err(confirmed.err_value)
         through = state.recorded_through
         return self._worker.hold(order, state.lease_until, through, seconds)
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/worker_tracker.py
@@ -8,7 +8,7 @@
 
 import attrs
 import logbook
-from result import Err
+from result import Err, Ok, Result
 
 from pollenkeel_jobs.core.announcements import (
     ConfiguredServices,
@@ -28,7 +28,12 @@
 from pollenkeel_jobs.core.pacing import PaceController
 from pollenkeel_jobs.core.specs import Demand
 from pollenkeel_jobs.core.start_history import StartHistory
-from pollenkeel_jobs.core.worker import Worker, WorkerAnnouncement, WorkerOrder
+from pollenkeel_jobs.core.worker import (
+    Worker,
+    WorkerAnnouncement,
+    WorkerFailure,
+    WorkerOrder,
+)
 from pollenkeel_kernel.core.clock import Clock
 from pollenkeel_kernel.core.logs import log_change
 
@@ -36,6 +41,11 @@
 
 #: Number of crashes of the worker that are kept for the reports.
 _MAX_CRASHES = 4
+#: Seconds after an answer of the worker within which it can't have restarted.
+_MIN_RESTART_SECONDS = 0.2
+#: Seconds after a failed confirmation in which the worker is not asked again; about the
+#: time for which the starts of one message wait.
+_CONFIRMATION_PAUSE_SECONDS = 1.0
 
 
 @attrs.define
@@ -74,7 +84,11 @@
         Time of the latest lists on the worker's clock, in milliseconds; 0 if there are
         none yet.
     listed_at : float
-        Time at which these lists arrived, in seconds since the Unix epoch.
+        Earliest time at which the worker can have made these lists, in seconds since
+        the Unix epoch. They may have arrived much later, as the agent may have been
+        suspended meanwhile.
+    asked_at : float
+        Time at which the call that returned them was sent.
     """
 
     announcement: WorkerAnnouncement
@@ -91,12 +105,34 @@
     announced: bool = True
     clock: float = 0.0
     listed_at: float = 0.0
+    asked_at: float = 0.0
 
     @property
     def incarnation(self) -> str:
         """Id of the incarnation: the worker's id and start time."""
         return self.announcement.incarnation
 
+    def record_clock(self, clock: float, asked_at: float, now: float) -> None:
+        """Record a time on the worker's clock that an answer has stated.
+
+        Parameters
+        ----------
+        clock : float
+            Time on the worker's clock, in milliseconds.
+        asked_at : float
+            Time at which the answered call was sent, in seconds since the Unix epoch.
+            An answer to an earlier call than the latest recorded one is ignored.
+        now : float
+            Current time in seconds since the Unix epoch.
+        """
+        if asked_at < self.asked_at:
+            return
+        # The worker's clock isn't fast, so at least this time has gone by.
+        elapsed = (clock - self.clock) / 1000 if self.listed_at else 0.0
+        self.listed_at = min(now, max(asked_at, self.listed_at + elapsed))
+        self.asked_at = asked_at
+        self.clock = clock
+
     def has_passed(self, deadline: float, now: float) -> bool:
         """Return whether a time on the worker's clock has passed, or may have.
 
@@ -112,6 +148,15 @@
         return self.clock + (now - self.listed_at) * 1000 > deadline
 
 
+@attrs.frozen
+class _FailedConfirmation:
+    """Why an incarnation was not confirmed, and when it may be asked again."""
+
+    state: WorkerState
+    failure: WorkerFailure
+    ask_again_at: float
+
+
 class WorkerTracker:
     """Follows the incarnations of the worker of one VM.
 
@@ -148,6 +193,8 @@
         self._clock = clock
         self._worker = worker
         self._pending = PendingAnnouncements()
+        self._confirmation_lock = threading.Lock()
+        self._failed_confirmation: _FailedConfirmation | None = None
 
     def get_vm_incarnation(self, state: WorkerState) -> str:
         """Return the worker's incarnation in the form ``VM/WORKER~START``.
@@ -230,6 +277,69 @@
                 self._pending.remove(announcement)
             report_denied(announcement, result.err_value)
 
+    def confirm(
+        self, state: WorkerState, order: WorkerOrder
+    ) -> Result[None, WorkerFailure]:
+        """Ask the worker whether it is still the same incarnation.
+
+        A call can't name the incarnation that it is meant for. The agent may have been
+        suspended since the worker's last answer, and the worker may have restarted
+        under its id. It is not asked if it has answered just now. The call has no
+        effect on its lease and its ended runs. Calls at the same time share one answer.
+        """
+        with self._confirmation_lock:
+            asked_at = self._clock.now()
+            if asked_at - state.listed_at < _MIN_RESTART_SECONDS:
+                return Ok(None)
+            failed = self._failed_confirmation
+            if failed and failed.state is state and asked_at < failed.ask_again_at:
+                return Err(failed.failure)
+            answer = self._worker.hold(order, 0.0, 0, 0.0)
+            if isinstance(answer, Err):
+                failure = answer.err_value
+                ask_again_at = self._clock.now() + _CONFIRMATION_PAUSE_SECONDS
+                self._failed_confirmation = _FailedConfirmation(
+                    state, failure, ask_again_at
+                )
+                if failure.born:
+                    self.begin_unannounced(state, failure.born)
+                return Err(failure)
+            with self.lock:
+                state.record_clock(answer.ok_value.clock, asked_at, self._clock.now())
+            return Ok(None)
+
+    def find_start_obstacle(
+        self,
+        state: WorkerState,
+        order: WorkerOrder,
+        deadline: float,
+        run: tuple[str, int],
+    ) -> str:
+        """Return why a start can't be sent any more, or an empty string.
+
+        The agent may have been suspended since the leader sent the start. The worker
+        checks the deadline too, but not if it has restarted meanwhile: the clock of the
+        new incarnation begins anew, and the deadline is far ahead of it. So it is asked
+        for its incarnation last.
+        """
+        reason = self._find_expiry_reason(state, deadline, run)
+        if reason:
+            return reason
+        confirmed = self.confirm(state, order)
+        if isinstance(confirmed, Err):
+            return f"worker not confirmed: {confirmed.err_value.reason}"
+        return self._find_expiry_reason(state, deadline, run)
+
+    def _find_expiry_reason(
+        self, state: WorkerState, deadline: float, run: tuple[str, int]
+    ) -> str:
+        with self.lock:
+            if self.state is not state:
+                return "another worker"
+            if state.has_passed(deadline, self._clock.now()):
+                return "late"
+            return "stopped" if run in state.stopped else ""
+
     def _begin_incarnation(
         self, announcement: WorkerAnnouncement, before: WorkerState | None
     ) -> None:
--- a/packages/pollenkeel-jobs/tests/agent_doubles.py
+++ b/packages/pollenkeel-jobs/tests/agent_doubles.py
@@ -23,13 +23,15 @@
 class WorkerDouble(Worker):
     """Worker that answers as one incarnation and records its calls.
 
-    It rejects the starts of the tasks in ``rejected``. ``listens`` tells whether a call
-    that fails was certainly not executed.
+    It rejects the starts of the tasks in ``rejected`` and, unless ``answers_starts``,
+    does not respond to the others. ``listens`` tells whether a call that fails was
+    certainly not executed.
     """
 
     def __init__(self):
         self.worker_id, self.born = "w", 1
         self.answers = True
+        self.answers_starts = True
         self.listens = True
         self.rejected = set()
         self.lists = WorkerLists(LISTED_AT, [], [])
@@ -41,6 +43,8 @@
         if start.task_id in self.rejected:
             return Err(WorkerFailure(True, "room"))
         self.started.append((start.task_id, start.run))
+        if not self.answers_starts:
+            return Err(WorkerFailure(False, "no response", timed_out=True))
         return self._answer(order, None)
 
     def stop(self, order, task_id, run):
--- a/packages/pollenkeel-jobs/tests/core/test_agent_orders.py
+++ b/packages/pollenkeel-jobs/tests/core/test_agent_orders.py
@@ -16,6 +16,7 @@
 
 from pollenkeel_jobs.core import agent as agent_module
 from pollenkeel_jobs.core.messages import StopOrder
+from pollenkeel_jobs.core.worker import WorkerLists
 from pollenkeel_standins.processes import wait_until
 
 TASK = "j.0.0.0"
@@ -43,6 +44,86 @@
     assert [(o.outcome, o.reason) for o in outcomes] == [("refused", "late")]
 
 
+@pytest.mark.parametrize("seconds", [0.3, 3.5])
+def test_start_is_not_sent_to_a_worker_that_restarted_unseen(
+    agent, clock, worker, seconds
+):
+    """Guards against a task on a worker without the label that it needs (review/15).
+
+    The agent was suspended; its worker is back under its id, maybe as another kind.
+    """
+    orders = make_orders(agent, TASK)
+    clock.advance(seconds)
+    worker.born = 2
+    outcomes = agent.handle(orders).outcomes
+    assert worker.started == []
+    assert [o.outcome for o in outcomes] == ["refused"]
+    assert not agent._tracker.state.announced
+
+
+def test_start_is_not_sent_to_a_worker_that_does_not_answer(agent, clock, worker):
+    """Guards against starts that a silent worker may execute after a restart."""
+    orders = make_orders(agent, TASK, "j.0.0.1")
+    clock.advance(3.5)
+    worker.answers = False
+    del worker.holds[:]
+    outcomes = agent.handle(orders).outcomes
+    assert worker.started == []
+    assert [o.outcome for o in outcomes] == ["refused", "refused"]
+    # The second start does not wait for another timeout.
+    assert len(worker.holds) == 1
+
+
+def test_list_read_after_a_suspension_tells_no_later_time(agent, clock, worker):
+    """Guards against an order that has run out but seems valid (review/11).
+
+    The worker made the list before the agent was suspended; it is read after it.
+    """
+
+    def hold_during_suspension(order, deadline, recorded_through, wait):
+        clock.advance((DEADLINE - LISTED_AT) / 1000 + 0.1)
+        return Ok(WorkerLists(LISTED_AT, [], []))
+
+    worker.hold = hold_during_suspension
+    poll(agent)
+    assert agent._tracker.state.has_passed(DEADLINE, clock.now())
+
+
+def test_starts_right_after_an_answer_need_no_further_call(agent, worker):
+    """Guards against a call to the worker before each start."""
+    poll(agent)
+    del worker.holds[:]
+    order_starts(agent, TASK, "j.0.0.1")
+    assert worker.holds == []
+
+
+def test_answer_of_a_long_poll_confirms_the_worker(agent, clock, worker):
+    """Guards against a further call after an answer that the worker held back.
+
+    The worker's clock tells how long.
+    """
+
+    def hold_for_a_while(order, deadline, recorded_through, wait):
+        clock.advance(0.4)
+        return Ok(WorkerLists(LISTED_AT + 400.0, [], []))
+
+    answer_at_once, worker.hold = worker.hold, hold_for_a_while
+    poll(agent)
+    worker.hold = answer_at_once
+    del worker.holds[:]
+    order_starts(agent, TASK)
+    assert worker.holds == []
+
+
+def test_clock_of_a_malformed_answer_is_forgotten(agent, clock, worker):
+    """Guards against a worker whose starts are all late after one odd answer."""
+    for worker_clock in (1e15, LISTED_AT):
+        worker.lists = WorkerLists(worker_clock, [], [])
+        clock.advance(0.1)
+        poll(agent)
+    assert [o.outcome for o in order_starts(agent, TASK)] == ["started"]
+
+
 def test_start_is_sent_until_its_deadline(agent, clock, worker):
     clock.advance((DEADLINE - LISTED_AT) / 1000 - 0.1)
     assert [o.outcome for o in order_starts(agent, TASK)] == ["started"]
--- a/packages/pollenkeel-jobs/tests/core/test_announcements.py
+++ b/packages/pollenkeel-jobs/tests/core/test_announcements.py
@@ -137,12 +137,12 @@
     clock.advance(0.9)
     del worker.holds[:]
     poll(agent)
-    assert worker.holds == [(1, 9000.0, 0), (1, 9000.0, 57)]
+    assert worker.holds == [(1, 0.0, 0), (1, 9000.0, 57)]
     clock.advance(0.9)
     worker.born = 2
     del worker.holds[:]
     poll(agent)
-    assert worker.holds == [(1, 9000.0, 0)]
+    assert worker.holds == [(1, 0.0, 0)]
 
 
 def test_ends_are_not_dropped_once_any_answer_shows_a_restart(agent, worker):
--- a/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
+++ b/packages/pollenkeel-jobs/tests/core/test_worker_crashes.py
@@ -521,9 +521,8 @@
     agent._epoch = EPOCH
     order_starts(agent, "before.0.0.0")
     clock.advance(0.9)
-    worker.answers = False
+    worker.answers_starts = False
     order_starts(agent, "after.0.0.0")
-    worker.answers = True
     restart(agent, worker, 2)
     assert find_suspects(agent, reports) == [["before.0.0.0", "after.0.0.0"]]
     assert not reports[-1].crashes[0].began
