--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Iterator
 
 import logbook
 
+from pollenkeel_jobs.core.lease_expiries import LeaseExpiries
 from pollenkeel_jobs.core.model import Job, Task
 from pollenkeel_jobs.core.operations import Operations
 from pollenkeel_jobs.core.vms import Vm
@@ -36,6 +38,10 @@
 #: Seconds after an agent's first report of a term for which its worker's lists are
 #: awaited. The agent has found its worker, which may be slow to list its runs.
 _FIRST_LISTS_SECONDS = 2.0
+#: Seconds without a worker's lists after which the end of its lease is recorded.
+_SILENCE_SECONDS = 1.0
+#: The same for a worker that has not reported in this term; agents may be starting.
+_ORPHAN_SILENCE_SECONDS = 2.0
 #: Seconds for which the operators' settings are valid after they were read.
 _OPERATIONS_VALID_SECONDS = 4.0
 #: Obstacle of a VM whose worker failed too many tasks in a row.
@@ -56,10 +62,18 @@
     ----------
     clock : Clock
         Source of time.
+    epoch : int
+        Fencing token of the term.
+
+    Attributes
+    ----------
+    expiries : LeaseExpiries
+        Recorded ends of the leases of silent workers.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, epoch: int = 0) -> None:
         self._clock = clock
+        self.expiries = LeaseExpiries(epoch)
         self._began_at = clock.now()
         self._first_heard_at = float("inf")
         self._last_joined_at = float("inf")
@@ -179,11 +193,12 @@
         vm.clock = vm.lease_until = vm.ends_complete_to = 0.0
         vm.ended_through = vm.recorded_through = 0
         # Until the first grant, runs here may hold a lease of an earlier leader.
-        vm.leases_expired_at = max(
-            vm.leases_expired_at,
-            self._began_at + _LEASE_EXPIRY_SECONDS,
-            now + _FIRST_LISTS_SECONDS,
-        )
+        expires_at = self.expiries.find(incarnation)
+        if expires_at is None:
+            expires_at = max(
+                self._began_at + _LEASE_EXPIRY_SECONDS, now + _FIRST_LISTS_SECONDS
+            )
+        vm.leases_expired_at = max(vm.leases_expired_at, expires_at)
         for task in self._orphans_by_incarnation.pop(incarnation, {}).values():
             vm.add(task)
         for task in inherited:
@@ -227,7 +242,7 @@
         return lost, inherited
 
     def grant_lease(self, vm: Vm, clock_ms: float) -> None:
-        """Extend the lease of a VM's worker.
+        """Extend the lease of a VM's worker unless the end of a lease is recorded.
 
         Parameters
         ----------
@@ -236,6 +251,8 @@
         clock_ms : float
             Time on the worker's clock from which the lease runs, in milliseconds.
         """
+        if not self.expiries.may_grant(vm.incarnation):
+            return
         vm.lease_until = clock_ms + WORKER_LEASE * 1000
         vm.leases_expired_at = max(
             vm.leases_expired_at, self._clock.now() + _LEASE_EXPIRY_SECONDS
@@ -253,11 +270,48 @@
                 for task in list(vm.tasks_by_id.values()):
                     vm.remove(task)
                     yield task
+        for worker in list(self._orphans_by_incarnation):
+            if now > self._find_orphan_expiry(worker):
+                yield from self._orphans_by_incarnation.pop(worker).values()
+
+    def _find_orphan_expiry(self, worker: str) -> float:
+        """Return when the lease of a worker that has not reported has expired."""
+        expires_at = self.expiries.find(worker)
+        if expires_at is not None:
+            return expires_at
         agents_started_by = min(
             self._last_joined_at + _AGENT_START_SECONDS,
             self._first_heard_at + _LONGEST_AGENT_START_SECONDS,
         )
-        if now > max(self._began_at + _LEASE_EXPIRY_SECONDS, agents_started_by):
-            for tasks in self._orphans_by_incarnation.values():
-                yield from tasks.values()
-            self._orphans_by_incarnation.clear()
+        return max(self._began_at + _LEASE_EXPIRY_SECONDS, agents_started_by)
+
+    def find_silent_workers(self) -> dict[str, float]:
+        """Return when the leases of silent workers with tasks have expired for certain.
+
+        Returns
+        -------
+        dict of str to float
+            Times in seconds since the Unix epoch, by the worker's incarnation.
+        """
+        return dict(self._iterate_silent_workers())
+
+    def _iterate_silent_workers(self) -> Iterator[tuple[str, float]]:
+        now = self._clock.now()
+        for vm in self._vms_by_name.values():
+            heard_at = max(vm.listed_at, self._began_at)
+            is_inherited = not vm.listed_at and self._is_inherited(vm.incarnation)
+            is_silent = is_inherited or now - heard_at >= _SILENCE_SECONDS
+            if vm.tasks_by_id and is_silent:
+                yield vm.incarnation, vm.leases_expired_at
+        is_late = now - self._began_at >= _ORPHAN_SILENCE_SECONDS
+        for worker in self._orphans_by_incarnation:
+            expires_at = self.expiries.find(worker)
+            if expires_at is not None:
+                yield worker, expires_at
+            elif is_late and self._first_heard_at < math.inf:
+                # The latest time at which this leader itself gives the runs up.
+                yield worker, self._first_heard_at + _LONGEST_AGENT_START_SECONDS
+
+    def _is_inherited(self, worker: str) -> bool:
+        """Return whether the leader before has recorded the end of a worker's lease."""
+        return self.expiries.find(worker) is not None
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -39,6 +39,7 @@
     INTERFERENCE,
     JOBS,
     LEADER_PARTITION,
+    LEASE_EXPIRIES,
     MEMBER_PARTITION,
     MEMBERS,
     PROGRESS,
@@ -202,6 +203,7 @@
             weights = read(LEADER_PARTITION, INTERFERENCE).result()
             jobs, cancels = _join_pages(job_reads), _join_pages(cancel_reads)
             progress = progress_read.result()
+            pool.submit(self._load_expiries, stop).result()
         for row in weights.rows:
             self._interference.load(row.value or b"")
         progress_by_id = join_progress_rows(progress.rows)
@@ -220,6 +222,16 @@
             epoch=self.scheduler.epoch,
         )
 
+    def _load_expiries(self, stop: threading.Event) -> None:
+        """Load the ends of the leases of silent workers."""
+        asked_at = self.clock.now()
+        page = self._read_all(LEADER_PARTITION, LEASE_EXPIRIES, stop)
+        expiries = self.scheduler.expiries
+        expiries.record_service_time(page.now, asked_at)
+        expiries.load(
+            page.rows, self.leadership.previous_epoch, page.now, self.clock.now()
+        )
+
     def _iter_job_rows(
         self, jobs: Page, progress_by_id: dict[str, bytes]
     ) -> Iterator[tuple[bytes, bytes | None]]:
@@ -381,12 +393,14 @@
             self.over.wait(_MEMBER_INTERVAL)
 
     def _read_members(self) -> None:
+        asked_at = self.clock.now()
         page = self._tables.read_all(MEMBER_PARTITION, MEMBERS)
         if isinstance(page, Err):
             logger.warning(
                 "members cannot be read", extra={"cause": page.err_value.detail}
             )
             return
+        self.scheduler.expiries.record_service_time(page.ok_value.now, asked_at)
         for row in page.ok_value.rows:
             self._add_member(row.key, row.value or b"")
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leadership.py
@@ -143,6 +143,8 @@
         does.
     epoch : int
         Fencing token of the current term; 0 while this process does not lead.
+    previous_epoch : int
+        Fencing token of the term before the latest one of this process; 0 if unknown.
     write_seconds : float
         Duration of the last successful write.
     leader : LeaseRecord or None
@@ -182,6 +184,7 @@
         self._failing_since = 0.0
         self._next_query_at = 0.0
         self.epoch = 0
+        self.previous_epoch = 0
         self.write_seconds = 0.0
         self.leader: LeaseRecord | None = None
 
@@ -422,6 +425,7 @@
         if isinstance(result, Err):
             return False
         self._failing_since = 0.0
+        self.previous_epoch = self.leader.epoch if self.leader else 0
         self._version = self.epoch = result.ok_value
         self._valid_until = began + LEASE_SECONDS
         self.leader = attrs.evolve(record, epoch=self.epoch)
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/names.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/names.py
@@ -11,6 +11,8 @@
 #: Learned interference between images, written by the leader. The table keeps its
 #: former name, under which rows are stored.
 INTERFERENCE = "harm"
+#: Ends of the leases of silent workers, written by the leader.
+LEASE_EXPIRIES = "lease_expiries"
 #: The leader's lease, written in each of its transactions.
 LEADER = "leader"
 #: Members: the address of each agent.
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/scheduler.py
@@ -103,6 +103,8 @@
     ----------
     early_cancellations : EarlyCancellations
         Cancellations that are known before their job.
+    expiries : LeaseExpiries
+        Recorded ends of the leases of silent workers.
     """
 
     def __init__(
@@ -119,7 +121,8 @@
         self._lock = threading.RLock()
         self._jobs = JobTable(clock)
         self.early_cancellations = EarlyCancellations(clock)
-        self._fleet = Fleet(clock)
+        self._fleet = Fleet(clock, epoch)
+        self.expiries = self._fleet.expiries
         self._tickets = TicketCache(clock)
         self._unsent_starts: list[PlannedStart] = []
         self._interference = interference
@@ -343,11 +346,8 @@
             return self._make_reply(vm, report)
 
     def _make_reply(self, vm: Vm, report: VmReport) -> VmReportReply:
-        profiles = [
-            vm.profiles_by_task[task_id]
-            for task_id in report.unprofiled
-            if task_id in vm.profiles_by_task
-        ]
+        known = vm.profiles_by_task
+        profiles = [known[task_id] for task_id in report.unprofiled if task_id in known]
         operations = self._fleet.operations
         is_known = report.operations_version == operations.version
         return VmReportReply(
@@ -366,9 +366,8 @@
     def find_interfering_pairs(self, vm: Vm) -> list[InterferingPair]:
         """Return the interfering pairs among the images placed on a VM."""
         with self._lock:
-            return list(
-                self._interference.pairs(vm.serving_images, vm.best_effort_images)
-            )
+            images = vm.serving_images, vm.best_effort_images
+            return list(self._interference.pairs(*images))
 
     # Start orders.
 
@@ -461,8 +460,10 @@
         self.wake.set()
 
     def _make_writes(self, writes: list[RowWrite]) -> tuple[RowWrite, ...]:
-        """Return the rows of jobs and, from time to time, the learned weights."""
+        """Return the rows of jobs, of silent workers and, at times, the weights."""
         now = self._clock.now()
+        silent = self._fleet.find_silent_workers()
+        writes = [*writes, *self.expiries.collect_writes(silent, len(writes))]
         if writes and now >= self._next_weights_write_at:
             self._next_weights_write_at = now + _WEIGHTS_WRITE_INTERVAL
             row = RowWrite(INTERFERENCE, INTERFERENCE_KEY, self._interference.encode())
@@ -492,6 +493,7 @@
     def confirm(self, recorded_pass: Pass) -> None:
         """Apply the effects of a pass whose rows have been written."""
         with self._lock:
+            self.expiries.confirm(recorded_pass.writes)
             for job, status in recorded_pass.statuses_by_job.items():
                 job.recorded_status = status
             for ends in recorded_pass.ends:
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/tables.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/tables.py
@@ -93,12 +93,16 @@
         Further rows follow.
     last_key : str
         Key of the last row, which may be one that was left out as malformed.
+    now : float
+        Time of the read on the table service's steady clock, in seconds; 0 if it is not
+        known.
     """
 
     rows: tuple[Row, ...]
     version: int
     more: bool = False
     last_key: str = ""
+    now: float = 0.0
 
 
 class TableService(ABC):
@@ -140,10 +144,14 @@
         return page.map(lambda found: found.rows[0] if found.rows else None)
 
     def read_all(self, partition: str, table: str) -> Result[Page, Failure]:
-        """Return all rows of a table in one partition."""
+        """Return all rows of a table in one partition.
+
+        Version and time of the result are those of the first page.
+        """
         rows: list[Row] = []
         start = ""
         version = 0
+        now = 0.0
         while True:
             page = self.read(partition, table, start)
             if page.is_err():
@@ -153,6 +161,7 @@
             # A change feed from the version of the first page also returns changes
             # made while the later pages were read.
             version = version or found.version
+            now = now or found.now
             if not found.more:
-                return Ok(Page(tuple(rows), version))
+                return Ok(Page(tuple(rows), version, now=now))
             start = found.last_key + "\0"
--- a/packages/pollenkeel-jobs/tests/jobs_doubles.py
+++ b/packages/pollenkeel-jobs/tests/jobs_doubles.py
@@ -113,7 +113,8 @@
             ),
             key=lambda row: row.key,
         )
-        return Ok(Page(tuple(rows), self.version))
+        now = self.clock.now() if self.clock is not None else 0.0
+        return Ok(Page(tuple(rows), self.version, now=now))
 
     def watch(self, table, after, wait):
         with self._lock:
