--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/entry.py
@@ -236,11 +236,15 @@
 
     def _watch_operations(self, term: Term) -> None:
         """Pass the operator configuration to the scheduler until the term ends."""
-        while not term.over.wait(_OPERATIONS_POLL_SECONDS):
+
+        def update() -> None:
             term.scheduler.update_operations(
                 self.operations.current, self.operations.confirmed_at
             )
 
+        while not term.over.wait(_OPERATIONS_POLL_SECONDS):
+            run_step(update, logger, "operator configuration cannot be applied")
+
     def _query_leader(self, leader: LeaseRecord) -> bool:
         """Return False if the lease holder replies that it does not lead.
 
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/leader.py
@@ -178,7 +178,7 @@
             while not stop.is_set():
                 self._end_if_repaired()
                 self._run_pass()
-                self._cleanup.run_if_due()
+                self._clean_up()
         except LeadershipLost as error:
             log_change(logger, "leadership lost", cause=str(error))
         finally:
@@ -286,11 +286,23 @@
             if sender is not None:
                 sender.add(work)
 
+    def _clean_up(self) -> None:
+        """Delete old rows; an unexpected error must not end the term."""
+        try:
+            self._cleanup.run_if_due()
+        except LeadershipLost:
+            raise
+        except Exception:
+            logger.exception("old rows cannot be deleted")
+
     def _watch_unreadable_jobs(self) -> None:
         """Notice that an unreadable job has been repaired."""
         while not self.over.wait(_REPAIR_CHECK_INTERVAL):
-            if self._is_any_repaired():
-                self._repaired.set()
+            run_step(self._check_repairs, logger, "unreadable jobs cannot be checked")
+
+    def _check_repairs(self) -> None:
+        if self._is_any_repaired():
+            self._repaired.set()
 
     def _is_any_repaired(self) -> bool:
         """Return whether the record of an unreadable job can be read by now."""
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/lease_expiries.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/lease_expiries.py
@@ -104,7 +104,7 @@
                 self._inherited_by_worker[row.key] = local
                 log_change(
                     logger,
-                    "lease of a silent worker",
+                    "end of lease taken over",
                     worker=row.key,
                     seconds_left=round(local - answered_at, 2),
                 )
@@ -137,10 +137,15 @@
                     break
                 writes.append(write)
                 if write.value is not None:
-                    self._stored.add(write.key)
-                    self._written_by_worker[write.key] = expires_at_by_worker[write.key]
+                    self._note_written(write.key, expires_at_by_worker[write.key])
             return writes
 
+    def _note_written(self, worker: str, expires_at: float) -> None:
+        if worker not in self._stored:
+            log_change(logger, "end of lease recorded", worker=worker)
+        self._stored.add(worker)
+        self._written_by_worker[worker] = expires_at
+
     def _iterate_writes(
         self, expires_at_by_worker: Mapping[str, float], offset: float
     ) -> Iterator[RowWrite]:
--- a/packages/pollenkeel-jobs/tests/core/test_entry.py
+++ b/packages/pollenkeel-jobs/tests/core/test_entry.py
@@ -143,3 +143,32 @@
     assert terms[0].over.is_set()
     stop.set()
     entry.close()
+
+
+class TermDouble:
+    """Term whose scheduler fails at the first update of the configuration."""
+
+    def __init__(self):
+        self.over = threading.Event()
+        self.scheduler = self
+        self.updates = 0
+
+    def update_operations(self, operations, confirmed_at):
+        self.updates += 1
+        if self.updates == 1:
+            raise ZeroDivisionError
+        self.over.set()
+
+
+def test_error_in_one_update_does_not_stop_the_operator_configuration(
+    tables, free_ports
+):
+    """Guards against a leader that starts nothing after one odd configuration."""
+    feed = OperationsFeed("op", tables, UnchangedOperations(), CLOCK)
+    address = f"tcp://127.0.0.1:{free_ports[0]}"
+    settings = NodeSettings("entry-1", "z1", address, address)
+    entry = Entry(settings, tables, feed, CLOCK, UnusedAdviceService())
+    term = TermDouble()
+    entry._watch_operations(term)
+    entry.close()
+    assert term.updates == 2
--- a/packages/pollenkeel-jobs/tests/core/test_leader.py
+++ b/packages/pollenkeel-jobs/tests/core/test_leader.py
@@ -7,9 +7,9 @@
 from jobs_doubles import make_job
 from result import Err
 
-from pollenkeel_jobs.core import job_table
+from pollenkeel_jobs.core import job_table, leader
 from pollenkeel_jobs.core.leader import Term
-from pollenkeel_jobs.core.leadership import Leadership
+from pollenkeel_jobs.core.leadership import Leadership, LeadershipLost
 from pollenkeel_jobs.core.messages import (
     RelayedRow,
     RelayWrite,
@@ -265,3 +265,44 @@
     term.run(stop)
     assert states == [True, None]
     server.close()
+
+
+def fail_once(value):
+    """Return a function that raises an unexpected error first and then ``value``."""
+    calls = []
+
+    def call(*_):
+        calls.append(1)
+        if len(calls) == 1:
+            raise ZeroDivisionError
+        return value
+
+    return call
+
+
+def test_error_while_deleting_old_rows_does_not_end_the_term(term, monkeypatch):
+    """Guards against a row that ends each leader's term after ten seconds."""
+    monkeypatch.setattr(term._cleanup, "run_if_due", fail_once(None))
+    term._clean_up()
+
+
+def test_lost_lease_while_deleting_old_rows_ends_the_term(term, monkeypatch):
+    """Guards against a leader that goes on without its lease."""
+
+    def lose():
+        raise LeadershipLost("another entry leads")
+
+    monkeypatch.setattr(term._cleanup, "run_if_due", lose)
+    with pytest.raises(LeadershipLost):
+        term._clean_up()
+
+
+def test_error_in_one_check_does_not_end_the_watch_of_unreadable_jobs(
+    term, monkeypatch
+):
+    """Guards against repaired jobs that stay left out until the next leader."""
+    monkeypatch.setattr(leader, "_REPAIR_CHECK_INTERVAL", 0.01)
+    monkeypatch.setattr(term, "_is_any_repaired", fail_once(True))
+    threading.Thread(target=term._watch_unreadable_jobs, daemon=True).start()
+    wait_until(term._repaired.is_set, 5.0, "the repair is noticed")
+    term.over.set()
