Delete recorded lease ends that have no usable time, and never wait longer for them

Rows are deleted whether or not the service's time is known, and the leader's own wait is the upper limit.

--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/fleet.py
@@ -193,12 +193,12 @@
         vm.clock = vm.lease_until = vm.ends_complete_to = 0.0
         vm.ended_through = vm.recorded_through = 0
         # Until the first grant, runs here may hold a lease of an earlier leader.
-        expires_at = self.expiries.find(incarnation)
-        if expires_at is None:
-            expires_at = max(
-                self._began_at + _LEASE_EXPIRY_SECONDS, now + _FIRST_LISTS_SECONDS
-            )
-        vm.leases_expired_at = max(vm.leases_expired_at, expires_at)
+        expires_at = max(
+            self._began_at + _LEASE_EXPIRY_SECONDS, now + _FIRST_LISTS_SECONDS
+        )
+        vm.leases_expired_at = max(
+            vm.leases_expired_at, min(expires_at, self.expiries.find(incarnation))
+        )
         for task in self._orphans_by_incarnation.pop(incarnation, {}).values():
             vm.add(task)
         for task in inherited:
@@ -276,14 +276,12 @@
 
     def _find_orphan_expiry(self, worker: str) -> float:
         """Return when the lease of a worker that has not reported has expired."""
-        expires_at = self.expiries.find(worker)
-        if expires_at is not None:
-            return expires_at
         agents_started_by = min(
             self._last_joined_at + _AGENT_START_SECONDS,
             self._first_heard_at + _LONGEST_AGENT_START_SECONDS,
         )
-        return max(self._began_at + _LEASE_EXPIRY_SECONDS, agents_started_by)
+        expires_at = max(self._began_at + _LEASE_EXPIRY_SECONDS, agents_started_by)
+        return min(expires_at, self.expiries.find(worker))
 
     def find_silent_workers(self) -> dict[str, float]:
         """Return when the leases of silent workers with tasks have expired for certain.
@@ -305,13 +303,12 @@
                 yield vm.incarnation, vm.leases_expired_at
         is_late = now - self._began_at >= _ORPHAN_SILENCE_SECONDS
         for worker in self._orphans_by_incarnation:
-            expires_at = self.expiries.find(worker)
-            if expires_at is not None:
-                yield worker, expires_at
+            if self._is_inherited(worker):
+                yield worker, self.expiries.find(worker)
             elif is_late and self._first_heard_at < math.inf:
                 # The latest time at which this leader itself gives the runs up.
                 yield worker, self._first_heard_at + _LONGEST_AGENT_START_SECONDS
 
     def _is_inherited(self, worker: str) -> bool:
         """Return whether the leader before has recorded the end of a worker's lease."""
-        return self.expiries.find(worker) is not None
+        return self.expiries.find(worker) < math.inf
--- a/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/lease_expiries.py
+++ b/packages/pollenkeel-jobs/src/pollenkeel_jobs/core/lease_expiries.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Iterable, Iterator, Mapping
 
@@ -100,19 +101,22 @@
                 epoch, expires_at = _decode(row)
                 if epoch != previous_epoch or not epoch or not service_now:
                     continue
-                local = expires_at - service_now + answered_at
-                self._inherited_by_worker[row.key] = local
+                seconds_left = expires_at - service_now
+                self._inherited_by_worker[row.key] = answered_at + seconds_left
                 log_change(
                     logger,
                     "end of lease taken over",
                     worker=row.key,
-                    seconds_left=round(local - answered_at, 2),
+                    seconds_left=round(seconds_left, 2),
                 )
 
-    def find(self, worker: str) -> float | None:
-        """Return when a worker's lease expires according to the leader before."""
+    def find(self, worker: str) -> float:
+        """Return when a worker's lease expires according to the leader before.
+
+        The result is infinite if that leader has recorded no time.
+        """
         with self._lock:
-            return self._inherited_by_worker.get(worker)
+            return self._inherited_by_worker.get(worker, math.inf)
 
     def may_grant(self, worker: str) -> bool:
         """Return whether the worker may get a lease."""
@@ -127,12 +131,8 @@
         The rest is left to the next pass if there are too many beside ``other_rows``.
         """
         with self._lock:
-            if self._service_offset is None:
-                return []
             writes: list[RowWrite] = []
-            for write in self._iterate_writes(
-                expires_at_by_worker, self._service_offset
-            ):
+            for write in self._iterate_writes(expires_at_by_worker):
                 if len(writes) + other_rows >= _MAX_ROWS:
                     break
                 writes.append(write)
@@ -147,16 +147,18 @@
         self._written_by_worker[worker] = expires_at
 
     def _iterate_writes(
-        self, expires_at_by_worker: Mapping[str, float], offset: float
+        self, expires_at_by_worker: Mapping[str, float]
     ) -> Iterator[RowWrite]:
         for worker in sorted(self._stored - expires_at_by_worker.keys()):
             yield RowWrite(LEASE_EXPIRIES, worker, None)
+        offset = self._service_offset
+        if offset is None:
+            return
         for worker, expires_at in expires_at_by_worker.items():
-            known = self._written_by_worker.get(worker)
-            is_written = known is not None and (
-                abs(known - expires_at) < _MIN_CHANGE_SECONDS
-            )
-            if not is_written and len(worker.encode()) <= _MAX_KEY_BYTES:
+            known = self._written_by_worker.get(worker, -math.inf)
+            if abs(known - expires_at) < _MIN_CHANGE_SECONDS:
+                continue
+            if len(worker.encode()) <= _MAX_KEY_BYTES:
                 value = msgpack.packb([self._epoch, expires_at + offset])
                 yield RowWrite(LEASE_EXPIRIES, worker, value)
 
@@ -174,6 +176,8 @@
     """Return the epoch and the time of a row; the epoch is 0 if it is malformed."""
     try:
         epoch, expires_at = msgpack.unpackb(row.value or b"")
+        if not math.isfinite(expires_at):
+            raise ValueError(f"time is {expires_at}")
         return int(epoch), float(expires_at)
     except Exception as error:
         logger.error(
--- a/packages/pollenkeel-jobs/tests/core/test_lease_expiries.py
+++ b/packages/pollenkeel-jobs/tests/core/test_lease_expiries.py
@@ -1,5 +1,7 @@
 """Guards against waits that begin anew with each leader, and against early ones."""
 
+import math
+
 import msgpack
 import pytest
 from jobs_doubles import Site, make_job, succeed
@@ -183,10 +185,12 @@
 def test_rows_that_cannot_be_read_count_for_nothing():
     """Guards against a leader that cannot load, or gives runs up at once."""
     expiries = LeaseExpiries(7)
-    values = [b"", b"no row", msgpack.packb([5]), msgpack.packb(["x", "y"])]
+    figures = ([5], ["x", "y"], [5, math.nan], [5, math.inf])
+    values = [b"", b"no row", *map(msgpack.packb, figures)]
     rows = [Row(LEASE_EXPIRIES, f"w{n}", value, 1) for n, value in enumerate(values)]
     expiries.load(rows, 5, 100.0, 50.0)
-    assert [expiries.find(row.key) for row in rows] == [None] * len(rows)
+    assert [expiries.find(row.key) for row in rows] == [math.inf] * len(rows)
+    assert [w.value for w in expiries.collect_writes({}, 0)] == [None] * len(rows)
 
 
 def test_rows_without_the_time_of_the_service_count_for_nothing():
@@ -194,8 +198,22 @@
     expiries = LeaseExpiries(7)
     row = Row(LEASE_EXPIRIES, "w", msgpack.packb([5, 60.0]), 1)
     expiries.load([row], 5, 0.0, 50.0)
-    assert expiries.find("w") is None
-    assert expiries.collect_writes({"v": 60.0}, 0) == []
+    assert expiries.find("w") == math.inf
+    # The row is deleted, as the worker would get no lease otherwise.
+    writes = expiries.collect_writes({"v": 60.0}, 0)
+    assert [(write.key, write.value) for write in writes] == [("w", None)]
+    expiries.confirm(writes)
+    assert expiries.may_grant("w")
+
+
+def test_time_far_ahead_delays_no_task(site, clock):
+    """Guards against a task that is never given up because of one odd row."""
+    lose_worker(site)
+    run(site, 1.5)
+    row = list_rows(site)[0]
+    value = msgpack.packb([site.scheduler.epoch, 1e12])
+    site.rows_by_key[LEASE_EXPIRIES, row.key] = value
+    assert run(follow(site), 8.0)
 
 
 def test_lost_data_centre_fits_into_the_transactions():
